--- a/src/bin/wheatbay-drill/main.rs
+++ b/src/bin/sillfold-benchlink/main.rs
@@ -5,11 +5,11 @@
 mod wire;
 
 use settings::Dialect;
+use sillfold::{Action, Arrival, Entry, Event, ListKind, Listed, Outcome, Report, Returned, Role, Router};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
 use std::process::ExitCode;
 use std::sync::Arc;
-use wheatbay::{Action, Arrival, Entry, Event, ListKind, Listed, Outcome, Report, Returned, Role, Router};
 use wire::{Cursor, Frame, Reply, Result, WireError, read_frame};
 
 struct Instance {
@@ -40,12 +40,12 @@
         let written = match reply {
             Ok(frame) => output.write_all(&frame).and_then(|()| output.flush()),
             Err(WireError(what)) => {
-                eprintln!("wheatbay-drill: {what}");
+                eprintln!("sillfold-benchlink: {what}");
                 return ExitCode::from(2);
             }
         };
         if let Err(e) = written {
-            eprintln!("wheatbay-drill: writing a reply: {e}");
+            eprintln!("sillfold-benchlink: writing a reply: {e}");
             return ExitCode::from(3);
         }
     }
--- a/src/bin/wheatbay-drill/settings.rs
+++ b/src/bin/sillfold-benchlink/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::wire::{Result, WireError};
 use serde::Deserialize;
-use wheatbay::{
+use sillfold::{
     Class, DedupScope, Effect, LagCheck, Limits, ListMode, ListRole, Need, Safety, Settings, Tokens,
 };
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! wheatbay decides where a query router sends each request of a sharded, replicated database.
+//! sillfold decides where a query router sends each request of a sharded, replicated database.
 //!
 //! The module is pure: it is told what happened and when, and says what to do. It holds no clock,
 //! does no I/O and starts no thread, so one text of it runs inside a router and on a test bench.
 //!
 //! ```
 //! use std::sync::Arc;
-//! use wheatbay::*;
+//! use sillfold::*;
 //!
 //! let settings = Settings {
 //!     routers: 1, ordinal: 0, zone: 0,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,9 +1,9 @@
 //! Decisions of the module, seen through its public interface.
 
+use sillfold::logic::{score, tail_adjusted};
+use sillfold::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use wheatbay::logic::{score, tail_adjusted};
-use wheatbay::*;
 
 const MS: Micros = 1_000;
 const T0: Micros = 1_000_000_000;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -13,7 +13,7 @@
 "overloadForUs":1000000,"askWithinUs":9000000}}"#;
 
 fn drill(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_wheatbay-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sillfold-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
