--- a/src/bin/sillfold-benchlink/main.rs
+++ b/src/bin/sillfold-benchlink/main.rs
@@ -1,10 +1,9 @@
 //! Adapter between the simulator's wire and the decision module. It decides nothing.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
-use settings::Dialect;
+use sillfold::settings::{self, Dialect};
 use sillfold::{Action, Arrival, Entry, Event, ListKind, Listed, Outcome, Report, Returned, Role, Router};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
@@ -92,7 +91,8 @@
         if code == 1 {
             let seed = c.u64("ATTACH.initSeed")?;
             let len = c.u32("ATTACH.conf length")? as usize;
-            let (settings, dialect) = settings::parse(c.take(len, "ATTACH.conf")?)?;
+            let (settings, dialect) =
+                settings::parse(c.take(len, "ATTACH.conf")?).map_err(|e| WireError(e.0))?;
             let router = Router::new(settings, seed);
             self.instances.insert(who, Instance { router, dialect, events: Vec::new() });
             return Ok(());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 
 pub mod api;
 pub mod logic;
+pub mod settings;
 mod state;
 
 pub use api::*;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,87 @@
+//! The real proxy: start-up, the planned stop and exit codes. It owns the executor and the order in
+//! which the parts start and stop. It must never decide about a request nor speak on a socket.
+//!
+//! Exit codes: 0 after SIGTERM, 2 for a configuration that will not do.
+
+mod config;
+mod net;
+mod pg;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use config::Config;
+use futures_lite::{StreamExt, future};
+use net::client::Clients;
+use net::core::Core;
+use net::discovery;
+use net::hosts::Hosts;
+use std::net::TcpListener;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Beyond the longest wait of a client, how long a stop may take.
+const STOP_SLACK: Duration = Duration::from_millis(150);
+
+fn main() -> ExitCode {
+    let executor = Rc::new(LocalExecutor::new());
+    let run = async { serve(Config::load()?, &executor).await };
+    match async_io::block_on(executor.run(run)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("sillfold: {what}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn serve(config: Config, executor: &Rc<LocalExecutor<'static>>) -> Result<(), String> {
+    // Before anything can be asked of the program, so that no early SIGTERM kills it outright.
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let listener = Async::<TcpListener>::bind(config.listen)
+        .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?;
+    let drain_grace = config.settings.safety.drain_grace;
+    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let (core, todo) = Core::new(config.settings, config.dialect, config.seed);
+    let core = Rc::new(core);
+    let hosts = Rc::new(Hosts::new(core.clone(), config.most_host_connections, drain_grace));
+    let clients = Clients::new(core.clone(), hosts.clone(), config.most_clients, config.way_back);
+    let clients = Rc::new(clients);
+
+    if let Some(known) = &config.known {
+        hosts.listed(&core.list(known, true), known);
+    }
+    let known = config.known.map(|k| k.index);
+    executor.spawn(hosts.clone().run_chores(todo, executor.clone())).detach();
+    executor
+        .spawn({
+            let hosts = hosts.clone();
+            async move { hosts.run_upkeep().await }
+        })
+        .detach();
+    executor
+        .spawn({
+            let core = core.clone();
+            async move { core.run_timers().await }
+        })
+        .detach();
+    executor.spawn(async move { discovery::run(config.discovery, known, &core, &hosts).await }).detach();
+    eprintln!("sillfold: {} serves on {}", config.name, config.listen);
+
+    let stop = async { drop(signals.next().await) };
+    future::or(clients.accept(&listener, executor), stop).await;
+    eprintln!("sillfold: {} stops", config.name);
+    // Clients go on coming for a while, and are served as ever.
+    let lingered = async {
+        Timer::after(config.linger).await;
+    };
+    future::or(clients.accept(&listener, executor), lingered).await;
+    clients.accept_rest(&listener, executor);
+    drop(listener);
+    let latest = Instant::now() + Duration::from_micros(longest) + STOP_SLACK;
+    if net::by(latest, clients.close()).await.is_none() {
+        eprintln!("sillfold: {} stops with clients that would not end", config.name);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/net/core.rs
@@ -0,0 +1,375 @@
+//! The core: the decision module among events. It owns the `Router`, the clock, the module's
+//! timers, the names behind its numbers and each request's mailbox. It turns what happened into
+//! the module's events and the module's actions into messages to whoever carries them out. It must
+//! never touch a socket, name a message of any protocol, or decide anything itself.
+
+use super::discovery::{Listing, Status};
+use crate::config::sillfold_hash;
+use async_channel::{Receiver, Sender, TryRecvError, unbounded};
+use async_io::Timer;
+use futures_lite::future;
+use sillfold::settings::Dialect;
+use sillfold::{
+    Action, Arrival, Entry, Event, GroupId, ListKind, Listed, Micros, Outcome, Report, RequestId, Returned,
+    Router, ServerId, Settings,
+};
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// With a list of before, this much silence of discovery is waited for.
+const SILENT: Duration = Duration::from_secs(1);
+
+/// The one clock, and the one place where times of the sockets become the module's.
+///
+/// The module counts microseconds since the Unix epoch, steadily from the program's start, so a
+/// position or a start in Unix milliseconds only changes its unit.
+pub struct Clock {
+    started: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix }
+    }
+    pub fn now(&self) -> Micros {
+        (self.unix + self.started.elapsed()).as_micros() as Micros
+    }
+    /// When this time of the module's clock comes.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.started + Duration::from_micros(at).saturating_sub(self.unix)
+    }
+    /// A Unix time in milliseconds, as the sockets tell positions and starts.
+    pub fn from_unix_ms(ms: u64) -> Micros {
+        ms.saturating_mul(1_000)
+    }
+    /// A Unix time in seconds, as load reports tell positions.
+    pub fn from_unix_s(s: f64) -> Micros {
+        (s * 1e6) as Micros
+    }
+}
+
+/// What a request's task is told to do next.
+#[derive(Debug)]
+pub enum Order {
+    /// Start an attempt, and stop waiting for it at this time.
+    Attempt { server: ServerId, number: u8, until: Micros },
+    /// Withdraw the attempt that is out.
+    Withdraw,
+    /// Final: refused, with advice when to come again.
+    Refuse { retry_in: Micros },
+    /// Final: failed.
+    Fail,
+}
+
+/// What the hosts' owner is told to do.
+#[derive(Debug)]
+pub enum Chore {
+    Probe(ServerId),
+    CloseIdle(ServerId),
+}
+
+/// A request as the core knows it, whatever protocol brought it.
+pub struct Call {
+    pub class: u8,
+    pub session: u64,
+    pub group: GroupId,
+    pub give_up_at: Micros,
+    /// The position that the read must see.
+    pub after: Option<Micros>,
+}
+
+/// How one attempt ended, with what the answer told of its server.
+pub struct Ending {
+    pub server: ServerId,
+    pub number: u8,
+    pub outcome: Outcome,
+    pub latency: Duration,
+    pub note: Report,
+}
+
+struct Open {
+    orders: Sender<Order>,
+    give_up_at: Micros,
+    attempts: u8,
+}
+
+struct Inner {
+    router: Router,
+    actions: Vec<Action>,
+    open: BTreeMap<RequestId, Open>,
+    last_id: RequestId,
+    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    names: BTreeMap<ServerId, String>,
+    ids: BTreeMap<String, ServerId>,
+    groups: BTreeSet<GroupId>,
+}
+
+/// Owner of the decision module.
+pub struct Core {
+    pub clock: Clock,
+    pub dialect: Dialect,
+    inner: RefCell<Inner>,
+    timer_set: (Sender<()>, Receiver<()>),
+    chores: Sender<Chore>,
+    /// Closed once discovery has spoken.
+    listed: (Sender<()>, Receiver<()>),
+}
+
+impl Core {
+    /// A core that knows nothing yet; what the hosts' owner must do comes out of the receiver.
+    pub fn new(settings: Settings, dialect: Dialect, seed: u64) -> (Core, Receiver<Chore>) {
+        let (chores, todo) = unbounded();
+        let inner = Inner {
+            router: Router::new(settings, seed),
+            actions: Vec::new(),
+            open: BTreeMap::new(),
+            last_id: 0,
+            timers: BinaryHeap::new(),
+            names: BTreeMap::new(),
+            ids: BTreeMap::new(),
+            groups: BTreeSet::new(),
+        };
+        let core = Core {
+            clock: Clock::start(),
+            dialect,
+            inner: RefCell::new(inner),
+            timer_set: async_channel::bounded(1),
+            chores,
+            listed: async_channel::bounded(1),
+        };
+        (core, todo)
+    }
+
+    /// Returns once requests can be served: discovery has spoken, or it is silent for long and the
+    /// list of before will have to do.
+    pub async fn ready(&self) {
+        let old_list = async {
+            Timer::after(SILENT).await;
+            if !self.knows_servers() {
+                future::pending::<()>().await;
+            }
+        };
+        future::or(async { _ = self.listed.1.recv().await }, old_list).await;
+    }
+
+    /// Whether any list has named this group.
+    pub fn knows_group(&self, group: GroupId) -> bool {
+        self.inner.borrow().groups.contains(&group)
+    }
+
+    /// Whether any list has named any server.
+    pub fn knows_servers(&self) -> bool {
+        !self.inner.borrow().ids.is_empty()
+    }
+
+    /// A request came in: the ticket through which its task hears of it.
+    pub fn open(&self, call: &Call) -> Ticket<'_> {
+        let (orders, mailbox) = unbounded();
+        let id = {
+            let mut inner = self.inner.borrow_mut();
+            inner.last_id = inner.last_id.wrapping_add(1);
+            let id = inner.last_id;
+            inner.open.insert(id, Open { orders, give_up_at: call.give_up_at, attempts: 0 });
+            id
+        };
+        let now = self.clock.now();
+        // 0 stands for no token, so a commit of this very moment counts as a little older.
+        let age = call.after.map_or(0.0, |at| (now.saturating_sub(at) as f32 / 1e3).max(0.001));
+        self.feed(Event::Request(Arrival {
+            id,
+            class: call.class,
+            session: call.session,
+            give_up_at: call.give_up_at,
+            group: call.group,
+            token_ms: age,
+        }));
+        Ticket { core: self, id, mailbox, answered: Cell::new(false) }
+    }
+
+    /// A probe returned.
+    pub fn probed(&self, server: ServerId, report: Option<Report>) {
+        let ok = report.is_some();
+        self.feed(Event::Probed { server, ok, report: report.unwrap_or_default() });
+    }
+
+    /// News of the list, in the module's numbers. Returns the number of every entry.
+    pub fn list(&self, listing: &Listing, cached: bool) -> Vec<ServerId> {
+        let kind = match (cached, listing.full) {
+            (true, _) => ListKind::Cached,
+            (false, true) => ListKind::Full,
+            (false, false) => ListKind::Delta,
+        };
+        let place = |names: &[String], name: &str| {
+            let found = names.iter().position(|n| n == name);
+            u8::try_from(found.unwrap_or(names.len())).unwrap_or(u8::MAX)
+        };
+        let mut entries = Vec::new();
+        for e in &listing.entries {
+            let server = self.inner.borrow_mut().number(&e.name);
+            self.inner.borrow_mut().groups.insert(e.group);
+            entries.push(Entry {
+                server,
+                zone: place(&self.dialect.zones, &e.zone),
+                kind: place(&self.dialect.kinds, &e.kind),
+                group: e.group,
+                state: match e.status {
+                    Status::Serving => Listed::Ready,
+                    Status::Draining => Listed::Draining,
+                    Status::Deleted => Listed::Gone,
+                },
+                weight: e.weight,
+                primary: e.writer,
+                started: Clock::from_unix_ms(e.since_ms),
+            });
+        }
+        let ids = entries.iter().map(|e| e.server).collect();
+        if !cached {
+            self.listed.0.close();
+        }
+        self.feed(Event::List { kind, entries: entries.into() });
+        ids
+    }
+
+    /// Hands one event to the module as it happens, and its actions to those who carry them out.
+    fn feed(&self, event: Event) {
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        let earliest = inner.timers.peek().map(|t| t.0.0);
+        let mut actions = std::mem::take(&mut inner.actions);
+        inner.router.handle(self.clock.now(), &[event], &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { id, server, timeout } => {
+                    let Some(open) = inner.open.get_mut(&id) else { continue };
+                    let until = match timeout {
+                        0 => open.give_up_at,
+                        span => open.give_up_at.min(self.clock.now().saturating_add(span)),
+                    };
+                    let order = Order::Attempt { server, number: open.attempts, until };
+                    open.attempts += 1;
+                    tell(open, order);
+                }
+                Action::Refuse { id, retry_in } => {
+                    inner.open.get(&id).into_iter().for_each(|o| tell(o, Order::Refuse { retry_in }));
+                }
+                Action::Fail(id) => inner.open.get(&id).into_iter().for_each(|o| tell(o, Order::Fail)),
+                Action::Cancel(id, _) => {
+                    inner.open.get(&id).into_iter().for_each(|o| tell(o, Order::Withdraw));
+                }
+                Action::Timer { at, mark } => inner.timers.push(Reverse((at, mark))),
+                Action::Probe(server) => drop(self.chores.try_send(Chore::Probe(server))),
+                Action::CloseIdle(server) => drop(self.chores.try_send(Chore::CloseIdle(server))),
+                Action::Log(text) => match text.split(' ').nth(1).and_then(|id| id.parse().ok()) {
+                    Some(id) if inner.names.contains_key(&id) => {
+                        eprintln!("module: {} is {}", text, inner.names[&id]);
+                    }
+                    _ => eprintln!("module: {text}"),
+                },
+                // Discovery pushes by itself, and proxies have no way to talk to each other.
+                Action::Subscribe | Action::TellAll(_) => {}
+            }
+        }
+        inner.actions = actions;
+        if inner.timers.peek().map(|t| t.0.0) != earliest {
+            // Full means that the timers' task is about to look anyway.
+            let _ = self.timer_set.0.try_send(());
+        }
+    }
+
+    /// Feeds the module its timers as they fall due, for as long as the program runs.
+    pub async fn run_timers(&self) {
+        loop {
+            let next = self.inner.borrow().timers.peek().map(|t| t.0.0);
+            match next {
+                Some(at) if at <= self.clock.now() => {
+                    let due = self.inner.borrow_mut().timers.pop();
+                    due.into_iter().for_each(|Reverse((_, mark))| self.feed(Event::Timer(mark)));
+                }
+                _ => {
+                    let due = async {
+                        match next {
+                            Some(at) => drop(Timer::at(self.clock.instant(at)).await),
+                            None => future::pending().await,
+                        }
+                    };
+                    future::or(due, async { _ = self.timer_set.1.recv().await }).await;
+                }
+            }
+        }
+    }
+}
+
+impl Inner {
+    /// A server's number: drawn from its name, so that all proxies agree on the order of servers.
+    fn number(&mut self, name: &str) -> ServerId {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let hash = sillfold_hash(name);
+        let mut id = (hash ^ (hash >> 32)) as ServerId;
+        while self.names.contains_key(&id) {
+            id = id.wrapping_add(1);
+        }
+        self.names.insert(id, name.to_string());
+        self.ids.insert(name.to_string(), id);
+        id
+    }
+}
+
+fn tell(open: &Open, order: Order) {
+    // The mailbox is unbounded, and closed only when its request is over.
+    let _ = open.orders.try_send(order);
+}
+
+/// A request's place in the core; dropping it gives the place back.
+pub struct Ticket<'a> {
+    core: &'a Core,
+    id: RequestId,
+    mailbox: Receiver<Order>,
+    answered: Cell<bool>,
+}
+
+impl Ticket<'_> {
+    /// The module's next order for this request.
+    pub async fn order(&self) -> Order {
+        match self.mailbox.recv().await {
+            Ok(order) => order,
+            // The core outlives every ticket.
+            Err(_) => Order::Fail,
+        }
+    }
+
+    /// An attempt of this request ended; its connection is given back or closed by now.
+    pub fn ended(&self, e: Ending) {
+        let finished = self.answered.get() || e.outcome == Outcome::Ok;
+        self.answered.set(finished);
+        self.core.feed(Event::Outcome(Returned {
+            id: self.id,
+            attempt: e.number,
+            server: e.server,
+            outcome: e.outcome,
+            latency: e.latency.as_micros() as Micros,
+            finished,
+            note: e.note,
+            report: Report::default(),
+        }));
+    }
+
+    /// The client has left: nothing is owed any more.
+    pub fn client_gone(&self) {
+        self.answered.set(true);
+        self.core.feed(Event::ClientGone(self.id));
+        // The order to withdraw an attempt, which its task has done already.
+        while !matches!(self.mailbox.try_recv(), Err(TryRecvError::Empty | TryRecvError::Closed)) {}
+    }
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        self.core.inner.borrow_mut().open.remove(&self.id);
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,277 @@
+//! Discovery: the list of database hosts, fetched once and then watched. It owns the connection to
+//! discovery's agent and the index of the last news. It reconnects for as long as the program runs.
+//! It must never touch a connection to a database host, and bad news must never spoil the list.
+
+use super::by;
+use super::core::Core;
+use super::hosts::Hosts;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use serde::Deserialize;
+use sillfold::GroupId;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const PATH: &str = "/registry/instances";
+/// An empty line comes every 2 s; after this long without one the connection is taken for dead.
+const SILENCE: Duration = Duration::from_secs(7);
+/// The first wait before another try, and the longest.
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// The longest line or body that is kept.
+const MOST_BYTES: usize = 4 << 20;
+
+/// One message of discovery.
+pub struct Listing {
+    pub index: u64,
+    pub full: bool,
+    pub entries: Vec<Listed>,
+}
+
+/// One database host in the list.
+#[derive(Deserialize)]
+pub struct Listed {
+    pub name: String,
+    address: String,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default, rename = "type")]
+    pub kind: String,
+    pub group: GroupId,
+    pub status: Status,
+    #[serde(default = "one")]
+    pub weight: f64,
+    #[serde(default)]
+    pub since_ms: u64,
+    #[serde(default)]
+    access: String,
+    #[serde(skip)]
+    pub writer: bool,
+    /// The address once it is read; a listing with one that is no address is refused whole.
+    #[serde(skip)]
+    pub socket: Option<SocketAddr>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Status {
+    Serving,
+    Draining,
+    Deleted,
+}
+
+#[derive(Deserialize)]
+struct Wire {
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    endpoints: Vec<Listed>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl Listing {
+    /// Checks a message that is JSON already.
+    pub fn from_value(value: serde_json::Value) -> Result<Listing, String> {
+        Listing::checked(serde_json::from_value(value).map_err(|e| e.to_string())?)
+    }
+
+    /// Reads one line of a watch, or a whole list.
+    pub fn parse(text: &[u8]) -> Result<Listing, String> {
+        Listing::checked(serde_json::from_slice(text).map_err(|e| e.to_string())?)
+    }
+
+    fn checked(wire: Wire) -> Result<Listing, String> {
+        let mut entries = wire.endpoints;
+        for e in &mut entries {
+            e.writer = e.access == "writer";
+            e.socket = e.address.parse().ok();
+            if e.socket.is_none() && e.status != Status::Deleted {
+                return Err(format!("{}: address {:?} is no address and port", e.name, e.address));
+            }
+        }
+        Ok(Listing { index: wire.index, full: wire.snapshot, entries })
+    }
+}
+
+/// Keeps the list current, from the version that is known.
+pub async fn run(agent: SocketAddr, known: Option<u64>, core: &Core, hosts: &Hosts) {
+    let mut index = known;
+    let mut wait = FIRST_WAIT;
+    loop {
+        let before = Instant::now();
+        if let Err(what) = session(agent, &mut index, core, hosts).await {
+            eprintln!("discovery: {what}");
+        }
+        // A watch that held for a while may be reopened at once; a refusal is not hammered.
+        wait = if before.elapsed() > LONGEST_WAIT { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
+        Timer::after(wait).await;
+    }
+}
+
+/// One connection: the whole list where none is known, then a watch until it ends.
+async fn session(
+    agent: SocketAddr, index: &mut Option<u64>, core: &Core, hosts: &Hosts,
+) -> Result<(), String> {
+    let path = match *index {
+        None => PATH.to_string(),
+        Some(at) => format!("{PATH}?stream=1&index={at}"),
+    };
+    let mut http = Http::get(agent, &path).await?;
+    if http.status != 200 {
+        // The version may be one that discovery no longer knows: begin again with the whole list.
+        *index = None;
+        return Err(format!("status {} for {path}", http.status));
+    }
+    let mut apply = |text: &[u8]| match Listing::parse(text) {
+        Ok(listing) => {
+            hosts.listed(&core.list(&listing, false), &listing);
+            *index = Some(listing.index);
+        }
+        Err(e) => eprintln!("discovery: the list stays as it was: {e}"),
+    };
+    if path == PATH {
+        apply(&http.whole().await?);
+        return Ok(());
+    }
+    while let Some(line) = http.line().await? {
+        if line.iter().any(|b| !b.is_ascii_whitespace()) {
+            apply(&line);
+        }
+    }
+    Ok(())
+}
+
+/// How the body of an answer is delimited.
+enum Delimited {
+    Chunked { left: usize, first: bool },
+    Length(usize),
+    End,
+}
+
+/// One HTTP answer, read as it comes.
+struct Http {
+    stream: Async<TcpStream>,
+    status: u16,
+    delimited: Delimited,
+    raw: Vec<u8>,
+    body: Vec<u8>,
+    ended: bool,
+}
+
+impl Http {
+    async fn get(agent: SocketAddr, path: &str) -> Result<Http, String> {
+        let connect = by(Instant::now() + SILENCE, Async::<TcpStream>::connect(agent)).await;
+        let mut stream = connect.ok_or("no connection in time")?.map_err(|e| format!("connecting: {e}"))?;
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {agent}\r\nAccept: application/json\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.map_err(|e| format!("asking: {e}"))?;
+        let mut http =
+            Http { stream, status: 0, delimited: Delimited::End, raw: vec![], body: vec![], ended: false };
+        while !http.head()? {
+            if !http.more().await? {
+                return Err("the answer ends in its head".into());
+            }
+        }
+        Ok(http)
+    }
+
+    /// Reads the head once it is whole.
+    fn head(&mut self) -> Result<bool, String> {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut head = httparse::Response::new(&mut headers);
+        let parsed = head.parse(&self.raw).map_err(|e| format!("the head: {e}"))?;
+        let httparse::Status::Complete(len) = parsed else { return Ok(false) };
+        self.status = head.code.unwrap_or(0);
+        for h in head.headers.iter() {
+            let value = std::str::from_utf8(h.value).unwrap_or("").trim();
+            if h.name.eq_ignore_ascii_case("transfer-encoding") && value.eq_ignore_ascii_case("chunked") {
+                self.delimited = Delimited::Chunked { left: 0, first: true };
+            } else if h.name.eq_ignore_ascii_case("content-length") {
+                let length = value.parse().map_err(|_| format!("content-length {value:?}"))?;
+                self.delimited = Delimited::Length(length);
+            }
+        }
+        self.raw.drain(..len);
+        Ok(true)
+    }
+
+    /// Reads what has come; false at the end of the connection.
+    async fn more(&mut self) -> Result<bool, String> {
+        let mut part = [0; 8192];
+        let read = by(Instant::now() + SILENCE, self.stream.read(&mut part)).await;
+        let n = read.ok_or("silent for too long")?.map_err(|e| format!("reading: {e}"))?;
+        self.raw.extend(&part[..n]);
+        if self.raw.len() > MOST_BYTES || self.body.len() > MOST_BYTES {
+            return Err(format!("an answer of over {MOST_BYTES} bytes"));
+        }
+        Ok(n > 0)
+    }
+
+    /// Moves what is body from the raw bytes to the body.
+    fn unwrap_body(&mut self) -> Result<(), String> {
+        match &mut self.delimited {
+            Delimited::End => self.body.append(&mut self.raw),
+            Delimited::Length(left) => {
+                let n = self.raw.len().min(*left);
+                self.body.extend(self.raw.drain(..n));
+                *left -= n;
+                self.ended |= *left == 0;
+            }
+            Delimited::Chunked { left, first } => loop {
+                let n = self.raw.len().min(*left);
+                self.body.extend(self.raw.drain(..n));
+                *left -= n;
+                if *left > 0 || self.ended {
+                    return Ok(());
+                }
+                // A line end closes the chunk before, then comes the size of the next.
+                let skip = if *first { 0 } else { 2 };
+                if self.raw.len() < skip {
+                    return Ok(());
+                }
+                match httparse::parse_chunk_size(&self.raw[skip..]) {
+                    Ok(httparse::Status::Complete((at, size))) => {
+                        *left = usize::try_from(size).map_err(|_| "a chunk too large".to_string())?;
+                        *first = false;
+                        self.ended = size == 0;
+                        self.raw.drain(..skip + at);
+                    }
+                    Ok(httparse::Status::Partial) => return Ok(()),
+                    Err(_) => return Err("a chunk has no size".into()),
+                }
+            },
+        }
+        Ok(())
+    }
+
+    /// The next line of the body, without its end.
+    async fn line(&mut self) -> Result<Option<Vec<u8>>, String> {
+        loop {
+            self.unwrap_body()?;
+            if let Some(end) = self.body.iter().position(|&b| b == b'\n') {
+                let mut line: Vec<u8> = self.body.drain(..=end).collect();
+                line.pop();
+                return Ok(Some(line));
+            }
+            if self.ended || !self.more().await? {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// The whole body.
+    async fn whole(&mut self) -> Result<Vec<u8>, String> {
+        loop {
+            self.unwrap_body()?;
+            let to_the_end = matches!(self.delimited, Delimited::End);
+            if self.ended {
+                return Ok(std::mem::take(&mut self.body));
+            }
+            if !self.more().await? {
+                return if to_the_end { Ok(std::mem::take(&mut self.body)) } else { Err("cut short".into()) };
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/hosts.rs
@@ -0,0 +1,364 @@
+//! Connections to database hosts: dialling, the idle pool, attempts and probes. It owns every such
+//! connection and its descriptor, which is given back in one place, the drop of a `Slot`. It must
+//! never choose a host, never send anything a second time by itself, and never put a connection
+//! back before the host has said that it is ready for the next query.
+
+use super::by;
+use super::core::{Chore, Clock, Core};
+use super::discovery::{Listing, Status};
+use crate::pg::{self, Backend, Row, Statement, code};
+use async_channel::Receiver;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use sillfold::{Micros, Outcome, Report, Role, ServerId};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const USER: &str = "web";
+const DATABASE: &str = "orders";
+/// The pool is looked through this often for connections that ended or grew old.
+const UPKEEP: Duration = Duration::from_millis(500);
+/// Share of the idle limit after which a connection is no longer used: a request written to it as
+/// the host closes it would end as a reset.
+const FRESH: f64 = 0.8;
+
+/// A descriptor in the budget; dropping it gives it back.
+struct Slot(Rc<Cell<usize>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A connection to a database host.
+struct Connection {
+    stream: Async<TcpStream>,
+    buf: Vec<u8>,
+    idle_since: Instant,
+    _slot: Slot,
+}
+
+/// Why there was no usable message.
+enum Broken {
+    /// The connection ended or failed.
+    Ended,
+    /// The host sent what is no message, or none that belongs here.
+    Nonsense(String),
+}
+
+struct Host {
+    address: SocketAddr,
+    idle: Vec<Connection>,
+    /// When discovery first told that it drains or is gone.
+    off_since: Option<Instant>,
+}
+
+/// What came of an attempt.
+pub struct Attempted {
+    pub outcome: Outcome,
+    pub note: Report,
+    pub row: Option<Row>,
+}
+
+impl Attempted {
+    fn without_answer(outcome: Outcome) -> Attempted {
+        Attempted { outcome, note: Report::default(), row: None }
+    }
+}
+
+/// Owner of all connections to database hosts.
+pub struct Hosts {
+    core: Rc<Core>,
+    hosts: RefCell<BTreeMap<ServerId, Host>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+    dial_timeout: Duration,
+    fresh: Duration,
+    drain_grace: Duration,
+}
+
+impl Hosts {
+    pub fn new(core: Rc<Core>, most: usize, drain_grace: Micros) -> Hosts {
+        Hosts {
+            hosts: RefCell::default(),
+            open: Rc::default(),
+            most,
+            dial_timeout: Duration::from_micros(core.dialect.dial_timeout_us),
+            fresh: Duration::from_micros(core.dialect.keepalive_us).mul_f64(FRESH),
+            drain_grace: Duration::from_micros(drain_grace),
+            core,
+        }
+    }
+
+    /// News of the list; `ids` are the numbers of its entries.
+    pub fn listed(&self, ids: &[ServerId], listing: &Listing) {
+        let mut hosts = self.hosts.borrow_mut();
+        let now = Instant::now();
+        if listing.full {
+            for (_, host) in hosts.iter_mut().filter(|(id, _)| !ids.contains(id)) {
+                host.off_since.get_or_insert(now);
+                host.idle.clear();
+            }
+        }
+        for (&id, e) in ids.iter().zip(&listing.entries) {
+            if let Some(address) = e.socket {
+                let host =
+                    hosts.entry(id).or_insert_with(|| Host { address, idle: Vec::new(), off_since: None });
+                if host.address != address {
+                    host.idle.clear();
+                    host.address = address;
+                }
+            }
+            let Some(host) = hosts.get_mut(&id) else { continue };
+            match e.status {
+                Status::Serving => host.off_since = None,
+                Status::Draining => drop(host.off_since.get_or_insert(now)),
+                Status::Deleted => {
+                    host.off_since.get_or_insert(now);
+                    host.idle.clear();
+                }
+            }
+        }
+    }
+
+    /// One attempt, from the choice of a connection to the answer. It ends at `until` at the latest;
+    /// dropping the future closes the connection, which withdraws the attempt.
+    pub async fn attempt(&self, server: ServerId, statement: &Statement, until: Micros) -> Attempted {
+        let deadline = self.core.clock.instant(until);
+        let dialled = (Instant::now() + self.dial_timeout).min(deadline);
+        let mut connection = match by(dialled, self.connection(server)).await {
+            Some(Ok(connection)) => connection,
+            Some(Err(outcome)) => return Attempted::without_answer(outcome),
+            // Short of time, not of a connection: that alone must not count against the host's health.
+            None if dialled == deadline => return Attempted::without_answer(Outcome::Timeout),
+            None => return Attempted::without_answer(Outcome::ConnectFailed),
+        };
+        // Guards against a send that began in time, and whose dial outlasted the grace of a drain.
+        if self.off_for(server) + self.dial_timeout / 10 > self.drain_grace {
+            return Attempted::without_answer(Outcome::Moot);
+        }
+        let left = until.saturating_sub(self.core.clock.now()).div_ceil(1_000).max(1);
+        let mut query = Vec::new();
+        pg::put_query(&mut query, &statement.with_patience(left));
+        match by(deadline, connection.stream.write_all(&query)).await {
+            Some(Ok(())) => {}
+            Some(Err(_)) => return Attempted::without_answer(Outcome::ConnectFailed),
+            None => return Attempted::without_answer(Outcome::Timeout),
+        }
+        match by(deadline, connection.answer()).await {
+            Some((attempted, reusable)) => {
+                if reusable {
+                    self.give_back(server, connection);
+                }
+                attempted
+            }
+            None => Attempted::without_answer(Outcome::Timeout),
+        }
+    }
+
+    /// Asks a host for its report.
+    async fn probe(&self, server: ServerId) {
+        let by_when = Instant::now() + self.dial_timeout;
+        let report = by(by_when, async {
+            let mut connection = self.connection(server).await.ok()?;
+            let mut query = Vec::new();
+            pg::put_query(&mut query, "SHOW usage");
+            connection.stream.write_all(&query).await.ok()?;
+            let (attempted, reusable) = connection.answer().await;
+            if reusable {
+                self.give_back(server, connection);
+            }
+            let value = attempted.row?.value?;
+            Some(self.report(std::str::from_utf8(&value).ok()?))
+        });
+        let report = report.await.flatten();
+        self.core.probed(server, report);
+    }
+
+    /// Reads `x0=1767225600.123,x1=1,util=0.61`.
+    fn report(&self, text: &str) -> Report {
+        let d = &self.core.dialect;
+        let get = |index: Option<usize>| {
+            let name = d.fields.get(index?)?;
+            let value = text.split(',').filter_map(|p| p.split_once('=')).find(|p| p.0.trim() == name)?.1;
+            value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)
+        };
+        Report {
+            position: get(d.position).map(Clock::from_unix_s),
+            role: get(d.role).map(|r| if r > 0.5 { Role::Primary } else { Role::Replica }),
+            in_flight: get(d.in_flight),
+        }
+    }
+
+    fn off_for(&self, server: ServerId) -> Duration {
+        let hosts = self.hosts.borrow();
+        hosts.get(&server).and_then(|h| h.off_since).map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// An idle connection that still stands, or a new one; or the outcome that its lack amounts to.
+    async fn connection(&self, server: ServerId) -> Result<Connection, Outcome> {
+        let address = {
+            let mut hosts = self.hosts.borrow_mut();
+            let host = hosts.get_mut(&server).ok_or(Outcome::ConnectFailed)?;
+            while let Some(connection) = host.idle.pop() {
+                if connection.usable(self.fresh) {
+                    return Ok(connection);
+                }
+            }
+            host.address
+        };
+        let slot = self.slot().ok_or(Outcome::ConnectFailed)?;
+        Connection::dial(address, slot).await
+    }
+
+    /// A descriptor for one more connection; where none is left, that of the longest idle one.
+    fn slot(&self) -> Option<Slot> {
+        if self.open.get() >= self.most {
+            let mut hosts = self.hosts.borrow_mut();
+            let waiting = hosts.values_mut().filter(|h| !h.idle.is_empty());
+            // The first of a pool has waited longest: the last is taken first.
+            waiting.min_by_key(|h| h.idle[0].idle_since)?.idle.remove(0);
+        }
+        self.open.set(self.open.get() + 1);
+        Some(Slot(self.open.clone()))
+    }
+
+    fn give_back(&self, server: ServerId, mut connection: Connection) {
+        let mut hosts = self.hosts.borrow_mut();
+        let Some(host) = hosts.get_mut(&server).filter(|h| h.off_since.is_none()) else { return };
+        connection.idle_since = Instant::now();
+        // Guards against keeping a connection to where the host no longer is.
+        if connection.stream.get_ref().peer_addr().ok() == Some(host.address) {
+            host.idle.push(connection);
+        }
+    }
+
+    fn close_idle(&self, server: ServerId) {
+        self.hosts.borrow_mut().get_mut(&server).into_iter().for_each(|h| h.idle.clear());
+    }
+
+    /// Closes idle connections that ended or grew old, for as long as the program runs.
+    pub async fn run_upkeep(&self) {
+        loop {
+            Timer::after(UPKEEP).await;
+            for host in self.hosts.borrow_mut().values_mut() {
+                host.idle.retain(|c| c.usable(self.fresh));
+            }
+        }
+    }
+
+    /// Does what the module asks for beside requests, for as long as the program runs.
+    pub async fn run_chores(self: Rc<Hosts>, todo: Receiver<Chore>, executor: Rc<LocalExecutor<'static>>) {
+        while let Ok(chore) = todo.recv().await {
+            match chore {
+                Chore::CloseIdle(server) => self.close_idle(server),
+                Chore::Probe(server) => {
+                    let hosts = self.clone();
+                    executor.spawn(async move { hosts.probe(server).await }).detach();
+                }
+            }
+        }
+    }
+}
+
+impl Connection {
+    /// Opens a connection and its session. Nothing of a request is written here, so whatever goes
+    /// wrong, the request has not run.
+    async fn dial(address: SocketAddr, slot: Slot) -> Result<Connection, Outcome> {
+        let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Outcome::ConnectFailed)?;
+        stream.get_ref().set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+        let mut connection = Connection { stream, buf: Vec::new(), idle_since: Instant::now(), _slot: slot };
+        let mut startup = Vec::new();
+        pg::put_startup(&mut startup, USER, DATABASE);
+        connection.stream.write_all(&startup).await.map_err(|_| Outcome::ConnectFailed)?;
+        loop {
+            match connection.message().await {
+                Ok(Backend::ReadyForQuery) => return Ok(connection),
+                Ok(Backend::Error(e)) if e.code == code::TOO_MANY_CONNECTIONS => return Err(Outcome::Full),
+                Ok(Backend::AuthenticationOk | Backend::ParameterStatus { .. } | Backend::Skipped) => {}
+                Ok(other) => {
+                    eprintln!("hosts: {address}: {other:?} at a session's start");
+                    return Err(Outcome::ConnectFailed);
+                }
+                Err(Broken::Nonsense(what)) => {
+                    eprintln!("hosts: {address}: {what}");
+                    return Err(Outcome::ConnectFailed);
+                }
+                Err(Broken::Ended) => return Err(Outcome::ConnectFailed),
+            }
+        }
+    }
+
+    /// Whether it is young enough, and neither ended nor spoken on while nobody asked.
+    fn usable(&self, fresh: Duration) -> bool {
+        let quiet =
+            matches!(self.stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+        quiet && self.buf.is_empty() && self.idle_since.elapsed() < fresh
+    }
+
+    async fn message(&mut self) -> Result<Backend, Broken> {
+        let mut part = [0; 4096];
+        loop {
+            match pg::decode_backend(&mut self.buf) {
+                Ok(Some(message)) => return Ok(message),
+                Ok(None) => match self.stream.read(&mut part).await {
+                    Ok(n) if n > 0 => self.buf.extend(&part[..n]),
+                    _ => return Err(Broken::Ended),
+                },
+                Err(e) => return Err(Broken::Nonsense(e.0)),
+            }
+        }
+    }
+
+    /// Reads the answer to the query that is out: what it amounts to, and whether the connection
+    /// may serve another.
+    async fn answer(&mut self) -> (Attempted, bool) {
+        let mut note = Report::default();
+        let (mut column, mut value, mut row, mut refused) = (None, None, None, None);
+        let ended = loop {
+            match self.message().await {
+                Ok(Backend::ReadyForQuery) => break None,
+                Ok(Backend::ParameterStatus { name, value }) => match (name.as_str(), value.as_str()) {
+                    ("server_role", "writer") => note.role = Some(Role::Primary),
+                    ("server_role", "reader") => note.role = Some(Role::Replica),
+                    ("commit_clock", ms) => note.position = ms.parse().ok().map(Clock::from_unix_ms),
+                    _ => {}
+                },
+                Ok(Backend::RowDescription(mut columns)) if columns.len() == 1 => column = columns.pop(),
+                Ok(Backend::DataRow(mut values)) if values.len() == 1 && value.is_none() => {
+                    value = values.pop();
+                }
+                Ok(Backend::CommandComplete(tag)) => match (column.take(), value.take()) {
+                    (Some(column), Some(value)) => row = Some(Row { column, value, tag }),
+                    _ => break Some(Broken::Nonsense(format!("{tag} without one row of one column"))),
+                },
+                Ok(Backend::Error(e)) => refused = Some(e),
+                Ok(Backend::Skipped) => {}
+                Ok(other) => break Some(Broken::Nonsense(format!("{other:?} in an answer"))),
+                Err(broken) => break Some(broken),
+            }
+        };
+        let outcome = match (&refused, &row, &ended) {
+            (Some(e), ..) => match e.code.as_str() {
+                code::READ_ONLY | code::SNAPSHOT_TOO_OLD => Outcome::Miss,
+                code::TOO_MANY_CONNECTIONS => Outcome::Full,
+                _ => Outcome::Error,
+            },
+            (None, _, Some(Broken::Nonsense(what))) => {
+                eprintln!("hosts: {:?}: {what}", self.stream.get_ref().peer_addr());
+                Outcome::Error
+            }
+            (None, Some(_), _) => Outcome::Ok,
+            (None, None, Some(Broken::Ended)) => Outcome::Reset,
+            (None, None, None) => Outcome::Error,
+        };
+        let row = row.filter(|_| outcome == Outcome::Ok);
+        (Attempted { outcome, note, row }, ended.is_none())
+    }
+}
--- /dev/null
+++ b/src/pg.rs
@@ -0,0 +1,450 @@
+//! PostgreSQL's wire protocol, version 3: messages as small typed values, each decoded once and
+//! encoded once. It owns the layout of messages and the limits on their length. It must never do
+//! I/O, and never decide what an answer means for a request.
+
+/// The longest message accepted: a value of 64 KiB as hexadecimal text, with room around it.
+pub const MOST_BYTES: usize = 256 * 1024;
+/// The longest startup packet accepted, as in PostgreSQL itself.
+const MOST_STARTUP: usize = 10_000;
+
+/// SQLSTATE codes that this program reads or writes.
+pub mod code {
+    pub const PROTOCOL_VIOLATION: &str = "08P01";
+    pub const FEATURE_NOT_SUPPORTED: &str = "0A000";
+    pub const READ_ONLY: &str = "25006";
+    pub const SNAPSHOT_TOO_OLD: &str = "72000";
+    pub const COMPLETION_UNKNOWN: &str = "40003";
+    pub const SYNTAX_ERROR: &str = "42601";
+    pub const UNDEFINED_OBJECT: &str = "42704";
+    pub const TOO_MANY_CONNECTIONS: &str = "53300";
+    pub const CANNOT_CONNECT_NOW: &str = "57P03";
+}
+
+/// Bytes that are no message; the text says why.
+#[derive(Debug, PartialEq)]
+pub struct Malformed(pub String);
+
+type Decoded<T> = Result<Option<T>, Malformed>;
+
+fn bad<T>(what: impl Into<String>) -> Result<T, Malformed> {
+    Err(Malformed(what.into()))
+}
+
+/// What a client may say before its session begins.
+#[derive(Debug, PartialEq)]
+pub enum Startup {
+    /// Wants encryption first: TLS or GSSAPI.
+    Encryption,
+    /// Asks for another session's query to be cancelled.
+    Cancel,
+    /// Opens the session; the minor version may be newer than ours.
+    Session { minor: u16, options: Vec<String> },
+}
+
+/// What a client may say in its session.
+#[derive(Debug, PartialEq)]
+pub enum Frontend {
+    Query(String),
+    Terminate,
+    Sync,
+    Flush,
+    /// A message of the extended query protocol.
+    Extended,
+}
+
+/// What a database host may say.
+#[derive(Debug, PartialEq)]
+pub enum Backend {
+    AuthenticationOk,
+    ParameterStatus {
+        name: String,
+        value: String,
+    },
+    RowDescription(Vec<Column>),
+    DataRow(Vec<Option<Vec<u8>>>),
+    CommandComplete(String),
+    EmptyQuery,
+    Error(ErrorFields),
+    ReadyForQuery,
+    /// Notices and the like, which change nothing here.
+    Skipped,
+}
+
+/// The description of a column.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Column {
+    pub name: String,
+    table: u32,
+    attribute: i16,
+    type_oid: u32,
+    type_len: i16,
+    modifier: i32,
+    format: i16,
+}
+
+/// The fields of an ErrorResponse that matter here.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ErrorFields {
+    pub code: String,
+    pub message: String,
+    /// In milliseconds: when to come again.
+    pub retry_in_ms: Option<u64>,
+    pub fatal: bool,
+}
+
+/// A result of one row of one column, and the tag of the command that gave it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    pub column: Column,
+    pub value: Option<Vec<u8>>,
+    pub tag: String,
+}
+
+/// Walks over the body of one message.
+struct Body<'a>(&'a [u8]);
+
+impl<'a> Body<'a> {
+    fn take(&mut self, n: usize) -> Result<&'a [u8], Malformed> {
+        match self.0.split_at_checked(n) {
+            Some((head, rest)) => {
+                self.0 = rest;
+                Ok(head)
+            }
+            None => bad("a message ends inside a field"),
+        }
+    }
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], Malformed> {
+        let mut out = [0; N];
+        out.copy_from_slice(self.take(N)?);
+        Ok(out)
+    }
+    fn i16(&mut self) -> Result<i16, Malformed> {
+        Ok(i16::from_be_bytes(self.array()?))
+    }
+    fn i32(&mut self) -> Result<i32, Malformed> {
+        Ok(i32::from_be_bytes(self.array()?))
+    }
+    fn text(&mut self) -> Result<String, Malformed> {
+        let Some(end) = self.0.iter().position(|&b| b == 0) else { return bad("a text is not ended") };
+        let text = self.take(end)?;
+        self.take(1)?;
+        String::from_utf8(text.to_vec()).or_else(|_| bad("a text is not UTF-8"))
+    }
+    fn end(&self) -> Result<(), Malformed> {
+        if self.0.is_empty() { Ok(()) } else { bad("a message is longer than its fields") }
+    }
+}
+
+/// Takes one startup packet off the front of the buffer, once it is whole.
+pub fn decode_startup(buf: &mut Vec<u8>) -> Decoded<Startup> {
+    let Some(head) = buf.first_chunk::<8>() else { return Ok(None) };
+    let (len, version) = head.split_at(4);
+    let len = Body(len).i32()?;
+    let code = Body(version).i32()?;
+    let Ok(len) = usize::try_from(len) else { return bad("a startup packet of negative length") };
+    if !(8..=MOST_STARTUP).contains(&len) {
+        return bad(format!("a startup packet of {len} bytes"));
+    }
+    if buf.len() < len {
+        return Ok(None);
+    }
+    let packet: Vec<u8> = buf.drain(..len).collect();
+    let mut body = Body(&packet[8..]);
+    match code {
+        80_877_102 => Ok(Some(Startup::Cancel)),
+        80_877_103 | 80_877_104 => Ok(Some(Startup::Encryption)),
+        _ if code >> 16 == 3 => {
+            let mut options = Vec::new();
+            loop {
+                let name = body.text()?;
+                if name.is_empty() {
+                    break;
+                }
+                body.text()?;
+                options.extend(Some(name).filter(|n| n.starts_with("_pq_.")));
+            }
+            Ok(Some(Startup::Session { minor: (code & 0xffff) as u16, options }))
+        }
+        _ => bad(format!("protocol version {}.{}, this is 3.0", code >> 16, code & 0xffff)),
+    }
+}
+
+/// Takes one whole message off the front of the buffer: its type and its body.
+fn take_message(buf: &mut Vec<u8>) -> Decoded<(u8, Vec<u8>)> {
+    let Some(head) = buf.first_chunk::<5>() else { return Ok(None) };
+    let len = Body(&head[1..]).i32()?;
+    match usize::try_from(len) {
+        Ok(len) if (4..=MOST_BYTES).contains(&len) => {
+            if buf.len() < len + 1 {
+                return Ok(None);
+            }
+            let kind = head[0];
+            let body = buf[5..=len].to_vec();
+            buf.drain(..=len);
+            Ok(Some((kind, body)))
+        }
+        _ => bad(format!("a message of {len} bytes; the most is {MOST_BYTES}")),
+    }
+}
+
+/// Takes one message of a client's session.
+pub fn decode_frontend(buf: &mut Vec<u8>) -> Decoded<Frontend> {
+    // An unknown type is told before its length is believed: this may be another protocol.
+    if let Some(kind) = buf.first().filter(|k| !b"QXSHPBEDCdcfFp".contains(k)) {
+        return bad(format!("a message of the unknown type {kind:#04x}"));
+    }
+    let Some((kind, bytes)) = take_message(buf)? else { return Ok(None) };
+    let mut body = Body(&bytes);
+    let message = match kind {
+        b'Q' => {
+            let text = body.text()?;
+            body.end()?;
+            Frontend::Query(text)
+        }
+        b'X' => Frontend::Terminate,
+        b'S' => Frontend::Sync,
+        b'H' => Frontend::Flush,
+        b'P' | b'B' | b'E' | b'D' | b'C' | b'F' => Frontend::Extended,
+        _ => return bad(format!("a message of type {:?}, which nothing asked for", kind as char)),
+    };
+    Ok(Some(message))
+}
+
+/// Takes one message of a database host.
+pub fn decode_backend(buf: &mut Vec<u8>) -> Decoded<Backend> {
+    if let Some(kind) = buf.first().filter(|k| !b"RSKTDCIEZNAtnv".contains(k)) {
+        return bad(format!("a message of the unknown type {kind:#04x}"));
+    }
+    let Some((kind, bytes)) = take_message(buf)? else { return Ok(None) };
+    let mut body = Body(&bytes);
+    let message = match kind {
+        b'R' => match body.i32()? {
+            0 => Backend::AuthenticationOk,
+            other => return bad(format!("authentication of kind {other} asked for")),
+        },
+        b'S' => Backend::ParameterStatus { name: body.text()?, value: body.text()? },
+        b'T' => {
+            let n = body.i16()?;
+            Backend::RowDescription((0..n).map(|_| column(&mut body)).collect::<Result<_, _>>()?)
+        }
+        b'D' => {
+            let n = body.i16()?;
+            let values = (0..n).map(|_| match usize::try_from(body.i32()?) {
+                Ok(len) => Ok(Some(body.take(len)?.to_vec())),
+                Err(_) => Ok(None),
+            });
+            Backend::DataRow(values.collect::<Result<_, Malformed>>()?)
+        }
+        b'C' => Backend::CommandComplete(body.text()?),
+        b'I' => Backend::EmptyQuery,
+        b'E' => Backend::Error(error_fields(&mut body)?),
+        b'Z' => {
+            body.take(1)?;
+            Backend::ReadyForQuery
+        }
+        _ => return Ok(Some(Backend::Skipped)),
+    };
+    body.end()?;
+    Ok(Some(message))
+}
+
+fn column(body: &mut Body) -> Result<Column, Malformed> {
+    Ok(Column {
+        name: body.text()?,
+        table: u32::from_be_bytes(body.array()?),
+        attribute: body.i16()?,
+        type_oid: u32::from_be_bytes(body.array()?),
+        type_len: body.i16()?,
+        modifier: body.i32()?,
+        format: body.i16()?,
+    })
+}
+
+fn error_fields(body: &mut Body) -> Result<ErrorFields, Malformed> {
+    let mut fields = ErrorFields::default();
+    loop {
+        match body.take(1)?[0] {
+            0 => return Ok(fields),
+            b'C' => fields.code = body.text()?,
+            b'M' => fields.message = body.text()?,
+            b'D' => fields.retry_in_ms = body.text()?.trim().parse().ok(),
+            b'V' | b'S' => fields.fatal |= matches!(body.text()?.as_str(), "FATAL" | "PANIC"),
+            _ => {
+                body.text()?;
+            }
+        }
+    }
+}
+
+/// Appends one message: its type, and what `fill` writes as its body.
+fn message(out: &mut Vec<u8>, kind: u8, fill: impl FnOnce(&mut Vec<u8>)) {
+    out.push(kind);
+    let start = out.len();
+    out.extend([0; 4]);
+    fill(out);
+    let len = (out.len() - start) as u32;
+    out[start..start + 4].copy_from_slice(&len.to_be_bytes());
+}
+
+fn put_text(out: &mut Vec<u8>, text: &str) {
+    out.extend(text.bytes().filter(|&b| b != 0));
+    out.push(0);
+}
+
+/// The startup packet of our own sessions at database hosts.
+pub fn put_startup(out: &mut Vec<u8>, user: &str, database: &str) {
+    let start = out.len();
+    out.extend([0; 4]);
+    out.extend(196_608u32.to_be_bytes());
+    for text in ["user", user, "database", database] {
+        put_text(out, text);
+    }
+    out.push(0);
+    let len = (out.len() - start) as u32;
+    out[start..start + 4].copy_from_slice(&len.to_be_bytes());
+}
+
+pub fn put_query(out: &mut Vec<u8>, statement: &str) {
+    message(out, b'Q', |b| put_text(b, statement));
+}
+
+/// Tells a client with a newer minor version, or with options of it, what this side speaks.
+pub fn put_negotiate(out: &mut Vec<u8>, options: &[String]) {
+    message(out, b'v', |b| {
+        b.extend(0u32.to_be_bytes());
+        b.extend((options.len() as u32).to_be_bytes());
+        options.iter().for_each(|o| put_text(b, o));
+    });
+}
+
+/// All that welcomes a client, up to the first ReadyForQuery.
+pub fn put_welcome(out: &mut Vec<u8>) {
+    message(out, b'R', |b| b.extend(0u32.to_be_bytes()));
+    let parameters = [
+        ("server_version", "16.0 (sillfold)"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ];
+    for (name, value) in parameters {
+        message(out, b'S', |b| {
+            put_text(b, name);
+            put_text(b, value);
+        });
+    }
+    put_ready(out);
+}
+
+pub fn put_ready(out: &mut Vec<u8>) {
+    message(out, b'Z', |b| b.push(b'I'));
+}
+
+pub fn put_empty_query(out: &mut Vec<u8>) {
+    message(out, b'I', |_| {});
+}
+
+/// A served value: RowDescription, DataRow and CommandComplete.
+pub fn put_row(out: &mut Vec<u8>, row: &Row) {
+    let c = &row.column;
+    message(out, b'T', |b| {
+        b.extend(1i16.to_be_bytes());
+        put_text(b, &c.name);
+        b.extend(c.table.to_be_bytes());
+        b.extend(c.attribute.to_be_bytes());
+        b.extend(c.type_oid.to_be_bytes());
+        b.extend(c.type_len.to_be_bytes());
+        b.extend(c.modifier.to_be_bytes());
+        b.extend(c.format.to_be_bytes());
+    });
+    message(out, b'D', |b| {
+        b.extend(1i16.to_be_bytes());
+        match &row.value {
+            Some(value) => {
+                b.extend((value.len() as i32).to_be_bytes());
+                b.extend(value);
+            }
+            None => b.extend((-1i32).to_be_bytes()),
+        }
+    });
+    message(out, b'C', |b| put_text(b, &row.tag));
+}
+
+pub fn put_error(out: &mut Vec<u8>, fields: &ErrorFields) {
+    let severity = if fields.fatal { "FATAL" } else { "ERROR" };
+    let detail = fields.retry_in_ms.map(|ms| ms.to_string());
+    message(out, b'E', |b| {
+        let texts = [(b'S', severity), (b'V', severity), (b'C', &fields.code), (b'M', &fields.message)];
+        for (field, text) in texts.into_iter().chain(detail.as_deref().map(|d| (b'D', d))) {
+            b.push(field);
+            put_text(b, text);
+        }
+        b.push(0);
+    });
+}
+
+/// What a statement's leading comment says, and the statement itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Statement {
+    text: String,
+    /// Where the figure of `d` stands in the text.
+    d_at: std::ops::Range<usize>,
+    pub class: String,
+    pub patience_ms: u64,
+    pub group: u32,
+    /// Unix milliseconds that the read must see, where the session carries its last commit.
+    pub after_ms: Option<u64>,
+}
+
+impl Statement {
+    /// Reads the comment; the error says what is wrong with it.
+    pub fn parse(text: String) -> Result<Statement, String> {
+        let lead = text.len() - text.trim_start().len();
+        let open = text[lead..].strip_prefix("/*").ok_or("no comment leads the statement")?;
+        let end = open.find("*/").ok_or("the comment is not closed")?;
+        let (mut id, mut class, mut patience, mut group, mut after) = (false, None, None, None, None);
+        let mut at = lead + 2;
+        for part in open[..end].split(',') {
+            let (name, value) = part.split_once('=').ok_or(format!("the comment holds {part:?}"))?;
+            let start = at + part.len() - value.len();
+            let value = value.trim_end();
+            let number =
+                || value.parse::<u64>().map_err(|_| format!("{}={value:?} is no number", name.trim()));
+            match name.trim() {
+                "id" => id = !value.is_empty(),
+                "c" => class = Some(value.to_string()),
+                "d" => patience = Some((number()?, start..start + value.len())),
+                "cluster" => {
+                    let n = number()?;
+                    group = Some(u32::try_from(n).map_err(|_| format!("cluster={n} is no group"))?);
+                }
+                "after" => after = Some(number()?),
+                _ => {}
+            }
+            at += part.len() + 1;
+        }
+        if !id {
+            return Err("the comment has no id".into());
+        }
+        let (patience_ms, d_at) = patience.ok_or("the comment has no d")?;
+        Ok(Statement {
+            class: class.ok_or("the comment has no c")?,
+            group: group.ok_or("the comment has no cluster")?,
+            patience_ms,
+            after_ms: after,
+            d_at,
+            text,
+        })
+    }
+
+    /// The text with `d` set to what the proxy itself will wait; all else unchanged.
+    pub fn with_patience(&self, ms: u64) -> String {
+        format!("{}{ms}{}", &self.text[..self.d_at.start], &self.text[self.d_at.end..])
+    }
+
+    /// The first quoted literal, which names the session.
+    pub fn key(&self) -> &str {
+        self.text[self.d_at.end..].split('\'').nth(1).unwrap_or("")
+    }
+}
--- a/src/bin/sillfold-benchlink/settings.rs
+++ b/src/settings.rs
@@ -1,10 +1,26 @@
-//! The settings object of the wire, turned into the module's own.
+//! Reads the settings object that a deployment hands to every router, for both programs.
+//!
+//! It owns the names and units of that object and turns them into the module's own [`Settings`],
+//! beside a [`Dialect`]: what a program must know to speak, and the module need not. It takes text
+//! and returns values; it must never read a file or the environment, nor decide anything.
 
-use crate::wire::{Result, WireError};
-use serde::Deserialize;
-use sillfold::{
+use crate::api::{
     Class, DedupScope, Effect, LagCheck, Limits, ListMode, ListRole, Need, Safety, Settings, Tokens,
 };
+use serde::Deserialize;
+use std::fmt;
+
+/// What is wrong with a settings object; the text names the key.
+#[derive(Debug)]
+pub struct SettingsError(pub String);
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+type Result<T> = std::result::Result<T, SettingsError>;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -20,6 +36,10 @@
     load_info: LoadInfo,
     #[serde(default)]
     fees: Fees,
+    #[serde(default)]
+    azs: Vec<String>,
+    #[serde(default)]
+    host_types: Vec<String>,
 }
 
 #[derive(Default, Deserialize)]
@@ -32,6 +52,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct ClassConf {
+    #[serde(default)]
+    name: String,
     effect: String,
     #[serde(default)]
     dedup_scope: String,
@@ -76,6 +98,18 @@
     #[serde(default)]
     second_copies: bool,
     most_tries: u32,
+    #[serde(default = "dial_timeout")]
+    dial_timeout_us: f64,
+    #[serde(default = "keepalive")]
+    keepalive_us: f64,
+}
+
+fn dial_timeout() -> f64 {
+    250_000.0
+}
+
+fn keepalive() -> f64 {
+    30_000_000.0
 }
 
 #[derive(Deserialize)]
@@ -97,7 +131,8 @@
     fields: Vec<String>,
 }
 
-/// What the adapter itself needs to read reports and notes.
+/// What a program itself needs, beside the module's settings, to speak with the rest.
+#[derive(Clone, Debug)]
 pub struct Dialect {
     /// Clock time from which positions are measured.
     pub zero_us: u64,
@@ -107,20 +142,32 @@
     pub role: Option<usize>,
     /// Index of the requests in hand.
     pub in_flight: Option<usize>,
+    /// Names of a report's values, in the order of the wire.
+    pub fields: Vec<String>,
+    /// Names of the classes, by the module's index.
+    pub classes: Vec<String>,
+    /// Names of the zones, by index.
+    pub zones: Vec<String>,
+    /// Names of the machine types, by index.
+    pub kinds: Vec<String>,
+    /// A connection that is not up by then has failed.
+    pub dial_timeout_us: u64,
+    /// A server closes a connection that has stood idle for this long.
+    pub keepalive_us: u64,
 }
 
 fn bad<T>(key: &str, value: &str) -> Result<T> {
-    Err(WireError(format!("settings: {key} has the unknown value {value:?}")))
+    Err(SettingsError(format!("settings: {key} has the unknown value {value:?}")))
 }
 
 /// Parses the settings text.
 pub fn parse(text: &[u8]) -> Result<(Settings, Dialect)> {
     let text = std::str::from_utf8(text)
-        .map_err(|e| WireError(format!("settings: not UTF-8 at byte {}", e.valid_up_to())))?;
-    let conf: Conf = serde_json::from_str(text).map_err(|e| WireError(format!("settings: {e}")))?;
+        .map_err(|e| SettingsError(format!("settings: not UTF-8 at byte {}", e.valid_up_to())))?;
+    let conf: Conf = serde_json::from_str(text).map_err(|e| SettingsError(format!("settings: {e}")))?;
     let family = &conf.family_info;
     if family.class_read.len() < conf.classes.len() {
-        return Err(WireError("settings: classRead is shorter than classes".into()));
+        return Err(SettingsError("settings: classRead is shorter than classes".into()));
     }
     let mut classes = Vec::with_capacity(conf.classes.len());
     for (i, c) in conf.classes.iter().enumerate() {
@@ -128,7 +175,7 @@
             "eventual" => Need::Any,
             "lag_bound" => match family.staleness_bound_us.get(i) {
                 Some(bound) => Need::Bounded(*bound as u64),
-                None => return Err(WireError(format!("settings: no stalenessBoundUs[{i}]"))),
+                None => return Err(SettingsError(format!("settings: no stalenessBoundUs[{i}]"))),
             },
             "causal" => Need::Session,
             "strong" => Need::Fresh,
@@ -167,6 +214,12 @@
         position: field("x0"),
         role: field("x1"),
         in_flight: field("inflight"),
+        fields: conf.load_info.fields.clone(),
+        classes: conf.classes.iter().map(|c| c.name.clone()).collect(),
+        zones: conf.azs.clone(),
+        kinds: conf.host_types.clone(),
+        dial_timeout_us: l.dial_timeout_us as u64,
+        keepalive_us: l.keepalive_us as u64,
     };
     let settings = Settings {
         routers: conf.balancers,
