Count refused connections apart, and tell the program's failures as socket stories

Seen: with all client places taken, a client that was refused kept a place for its farewell (up to 200 ms), so a place given back meanwhile did not serve the next client; the story past_the_descriptors... failed on it. At fault: Clients::begin in src/net/client.rs counted refused connections with the served ones. They have a count of their own now.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -38,7 +38,10 @@
     hosts: Rc<Hosts>,
     most: usize,
     way_back: Micros,
-    open: Cell<usize>,
+    open: Rc<Cell<usize>>,
+    /// Connections past the limit that are hearing so. Guards against their farewells taking the
+    /// places of clients that could be served.
+    refusing: Rc<Cell<usize>>,
     /// Closed once no idle connection is to be kept.
     closing: (Sender<()>, Receiver<()>),
     /// Told whenever a connection has ended.
@@ -46,20 +49,23 @@
 }
 
 /// A client's descriptor in the budget; dropping it gives it back.
-struct Slot(Rc<Clients>);
+struct Slot {
+    count: Rc<Cell<usize>>,
+    ended: Sender<()>,
+}
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        let _ = self.0.ended.0.try_send(());
+        self.count.set(self.count.get() - 1);
+        let _ = self.ended.try_send(());
     }
 }
 
 impl Clients {
     pub fn new(core: Rc<Core>, hosts: Rc<Hosts>, most: usize, way_back: Micros) -> Clients {
-        let open = Cell::new(0);
+        let (open, refusing) = (Rc::default(), Rc::default());
         let (closing, ended) = (async_channel::bounded(1), async_channel::bounded(1));
-        Clients { core, hosts, most, way_back, open, closing, ended }
+        Clients { core, hosts, most, way_back, open, refusing, closing, ended }
     }
 
     /// Accepts for as long as the future is kept.
@@ -89,14 +95,18 @@
 
     fn begin(self: &Rc<Clients>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
         let refused = self.open.get() >= self.most;
-        if self.open.get() >= self.most + REFUSALS {
+        let (count, most) = if refused { (&self.refusing, REFUSALS) } else { (&self.open, self.most) };
+        if count.get() >= most {
             return;
         }
-        self.open.set(self.open.get() + 1);
-        let slot = Slot(self.clone());
+        count.set(count.get() + 1);
+        let slot = Slot { count: count.clone(), ended: self.ended.0.clone() };
+        let all = self.clone();
         let task = async move {
             let _ = stream.get_ref().set_nodelay(true);
-            let mut session = Session { all: &slot.0, stream, buf: Vec::new(), out: Vec::new() };
+            // Given back only after the connection is closed.
+            let _slot = slot;
+            let mut session = Session { all: &all, stream, buf: Vec::new(), out: Vec::new() };
             // An error here is the client's connection failing: there is nobody left to tell.
             if let Ok(true) = session.run(refused).await {
                 session.farewell().await;
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,247 @@
+//! The program among scripted peers: a story for each failure that was met or is guarded against.
+
+mod support;
+
+use std::io::Read;
+use std::time::Instant;
+use support::*;
+
+fn served(value: &'static str) -> Host {
+    Host::start(move |_, _| Reply::Row(value))
+}
+
+#[test]
+fn a_request_behind_the_startup_message_is_passed_on_unchanged_but_for_its_patience() {
+    let host = served("v\u{1}1");
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = Client::connect(proxy.address);
+    let text = "/* id=9b1f03aa,c=ingest,d=7000,k=5c0f6e1a,cluster=3 */ INSERT INTO entries (ref, payload) \
+                VALUES ('7f', '\\x9f03') RETURNING payload";
+    client.send(&[startup(), query(text)].concat());
+    assert_eq!(client.answer().end, End::Ready);
+    let answer = client.answer();
+    assert_eq!((answer.value.as_deref(), answer.end), (Some("v\u{1}1"), End::Ready));
+    let passed = host.query();
+    let (before, rest) = passed.split_once(",d=").expect("a patience");
+    let (patience, after) = rest.split_once(',').expect("more");
+    assert_eq!(format!("{before},d=7000,{after}"), text);
+    assert!((1..7000).contains(&patience.parse().expect("a number")), "{patience}");
+}
+
+#[test]
+fn one_connection_serves_request_after_request_and_a_dead_one_is_not_written_to() {
+    // The second answer is followed by the end of the connection.
+    let host = Host::start(|n, _| if n == 1 { Reply::Close(row("v")) } else { Reply::Row("v") });
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    for id in ["1", "2"] {
+        assert_eq!(client.ask(&read(id, "history", 9000)).value.as_deref(), Some("v"));
+    }
+    assert_eq!(host.next(), Seen::Opened);
+    assert!(matches!((host.next(), host.next()), (Seen::Query(_), Seen::Query(_))));
+    assert_eq!(host.next(), Seen::Closed);
+    assert_eq!(client.ask(&read("3", "history", 9000)).value.as_deref(), Some("v"));
+    assert_eq!(host.next(), Seen::Opened);
+}
+
+#[test]
+fn nonsense_from_a_host_fails_the_attempt_closes_its_connection_and_another_attempt_serves() {
+    let nonsense = [message(b'T', b"\0\x05"), message(b'Z', b"I")].concat();
+    let host = Host::start(move |n, _| if n == 0 { Reply::Bytes(nonsense.clone()) } else { Reply::Row("v") });
+    let proxy = Proxy::start(&[&host], 1024);
+    let answer = proxy.client().ask(&read("1", "history", 9000));
+    assert_eq!(answer.value.as_deref(), Some("v"), "{answer:?}");
+    assert_eq!(host.next(), Seen::Opened);
+    assert!(matches!(host.next(), Seen::Query(_)));
+    let rest = [host.next(), host.next()];
+    assert!(rest.contains(&Seen::Closed) && rest.contains(&Seen::Opened), "{rest:?}");
+}
+
+#[test]
+fn a_read_that_was_turned_away_or_failed_goes_out_again_on_the_same_connection() {
+    let host =
+        Host::start(|n, _| ["72000", "53300", "XX000"].get(n).map_or(Reply::Row("v"), |c| Reply::Error(c)));
+    let proxy = Proxy::start(&[&host], 1024);
+    assert_eq!(proxy.client().ask(&read("1", "history", 9000)).value.as_deref(), Some("v"));
+    assert_eq!(host.next(), Seen::Opened);
+    for _ in 0..4 {
+        assert!(matches!(host.next(), Seen::Query(_)));
+    }
+}
+
+#[test]
+fn a_read_is_refused_at_once_when_its_time_is_up_and_the_attempt_is_closed_before_the_answer() {
+    let host = Host::start(|_, _| Reply::Silence);
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    let asked = Instant::now();
+    // Worth nothing after 200 ms, though its client would wait for 60 s.
+    let answer = client.ask(&read("1", "browse", 60_000));
+    assert_eq!((answer.code.as_str(), answer.end), ("53300", End::Ready));
+    assert!(answer.detail.is_some_and(|d| d.parse::<u64>().is_ok_and(|ms| ms > 0)));
+    assert!(asked.elapsed() < PATIENCE);
+    assert_eq!(host.next(), Seen::Opened);
+    assert!(matches!(host.next(), Seen::Query(_)));
+    assert_eq!(host.next(), Seen::Closed);
+}
+
+#[test]
+fn a_write_that_may_have_run_is_repeated_inside_its_window_with_its_key_and_one_at_a_time() {
+    let host = Host::start(|n, _| if n == 0 { Reply::Close(vec![]) } else { Reply::Row("v") });
+    let proxy = Proxy::start(&[&host], 1024);
+    let text = "/* id=1,c=ingest,d=9000,k=5c0f,cluster=3 */ INSERT INTO entries VALUES ('7f', '1')";
+    assert_eq!(proxy.client().ask(text).value.as_deref(), Some("v"));
+    assert_eq!(host.next(), Seen::Opened);
+    let first = host.next();
+    assert_eq!(host.next(), Seen::Closed);
+    assert_eq!(host.next(), Seen::Opened);
+    for seen in [first, host.next()] {
+        assert!(matches!(&seen, Seen::Query(text) if text.contains("id=1,") && text.contains("k=5c0f,")));
+    }
+}
+
+#[test]
+fn an_attempt_is_withdrawn_when_its_client_closes() {
+    let host = Host::start(|_, _| Reply::Silence);
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    client.send(&query(&read("1", "history", 20_000)));
+    host.query();
+    let left = Instant::now();
+    drop(client);
+    assert_eq!(host.next(), Seen::Closed);
+    assert!(left.elapsed() < PATIENCE / 2, "the attempt ended with its time, not with its client");
+}
+
+#[test]
+fn what_is_no_request_gets_an_error_that_says_why() {
+    let host = served("v");
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = Client::connect(proxy.address);
+    // TLS and GSSAPI are declined, and the session goes on in plain.
+    for code in [80_877_103u32, 80_877_104] {
+        client.send(&[8u32.to_be_bytes(), code.to_be_bytes()].concat());
+        let mut declined = [0];
+        client.stream.read_exact(&mut declined).expect("an answer");
+        assert_eq!(&declined, b"N");
+    }
+    client.send(&startup());
+    assert_eq!(client.answer().end, End::Ready);
+    for (text, code, says) in [
+        ("SELECT 1", "42601", "comment"),
+        ("/* id=1,c=browse,d=soon,cluster=3 */ SELECT 1", "42601", "soon"),
+        ("/* id=1,c=order,d=90,cluster=3 */ SELECT 1", "42704", "order"),
+        ("/* id=1,c=browse,d=90,cluster=8 */ SELECT 1", "42704", "group 8"),
+    ] {
+        let answer = client.ask(text);
+        assert_eq!((answer.code.as_str(), answer.end), (code, End::Ready), "{text}");
+        assert!(answer.message.contains(says), "{}", answer.message);
+    }
+    // One error for all up to the Sync.
+    client.send(
+        &[message(b'P', b"\0SELECT 1\0\0\0"), message(b'E', b"\0\0\0\0\0"), message(b'S', b"")].concat(),
+    );
+    assert_eq!(client.answer().code, "0A000");
+    assert_eq!(client.ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
+    // Too long to be a message, and of no known type: the end of the connection.
+    for bytes in [&b"Q\x7f\xff\xff\xff"[..], b"GET / HTTP/1.1\r\n\r\n"] {
+        let mut client = proxy.client();
+        client.send(bytes);
+        let answer = client.answer();
+        assert_eq!((answer.code.as_str(), answer.end), ("08P01", End::Closed));
+    }
+}
+
+#[test]
+fn past_the_descriptors_a_client_is_refused_and_a_place_given_back_serves_again() {
+    let host = served("v");
+    // 96 descriptors: 39 for clients.
+    let proxy = Proxy::start(&[&host], 96);
+    let mut clients: Vec<Client> = (0..39).map(|_| proxy.client()).collect();
+    let mut refused = Client::connect(proxy.address);
+    refused.send(&startup());
+    let answer = refused.answer();
+    assert_eq!((answer.code.as_str(), answer.end), ("53300", End::Closed));
+    // This one is told before the next one is accepted: it ends a connection and sees it end.
+    let mut last = clients.pop().expect("39");
+    last.send(&message(b'X', b""));
+    assert_eq!(last.answer().end, End::Closed);
+    assert_eq!(proxy.client().ask(&read("1", "history", 9000)).value.as_deref(), Some("v"));
+}
+
+#[test]
+fn a_watch_that_ends_is_reopened_where_it_was_and_bad_news_leaves_the_list() {
+    let (old, new) = (served("old"), served("new"));
+    let proxy = Proxy::start(&[&old], 1024);
+    assert!(proxy.agent.asked().contains("stream=1&index=41 "));
+    proxy.agent.line(r#"{"index":99,"snapshot":true,"endpoints":[{"name":"x","address":"nowhere"}]}"#);
+    proxy.agent.line(&list(43, false, &[(&old, "SERVING")]));
+    proxy.agent.end_watch();
+    assert!(proxy.agent.asked().contains("stream=1&index=43 "));
+    let mut client = proxy.client();
+    assert_eq!(client.ask(&read("1", "history", 9000)).value.as_deref(), Some("old"));
+    // A whole list without the old host: it is gone, and its idle connection is closed.
+    proxy.agent.line(&list(44, true, &[(&new, "SERVING")]));
+    while old.next() != Seen::Closed {}
+    assert_eq!(client.ask(&read("2", "history", 9000)).value.as_deref(), Some("new"));
+}
+
+#[test]
+fn an_empty_query_is_answered_only_once_requests_can_be_served() {
+    let host = served("v");
+    // No list is known: nothing can be served before discovery speaks.
+    let proxy = Proxy::start(&[], 1024);
+    let mut client = proxy.client();
+    assert_eq!(client.ask(&read("1", "history", 9000)).code, "57P03");
+    client.send(&query(""));
+    proxy.agent.asked();
+    proxy.agent.line(&list(42, true, &[(&host, "SERVING")]));
+    assert!(client.answer().empty);
+    assert_eq!(client.ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
+}
+
+#[test]
+fn sigterm_answers_what_was_taken_serves_newcomers_for_a_while_and_exits_with_0() {
+    let (answer_now, may_answer) = std::sync::mpsc::channel::<()>();
+    let may_answer = std::sync::Mutex::new(may_answer);
+    let host = Host::start(move |n, _| {
+        if n == 0 {
+            let _ = may_answer.lock().expect("lock").recv_timeout(PATIENCE);
+        }
+        Reply::Row("v")
+    });
+    let mut proxy = Proxy::start(&[&host], 1024);
+    let (mut busy, mut idle) = (proxy.client(), proxy.client());
+    busy.send(&query(&read("1", "history", 9000)));
+    assert_eq!(host.next(), Seen::Opened);
+    proxy.terminate();
+    assert_eq!(proxy.client().ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
+    // The idle connection ends by itself; the busy one only after its answer.
+    assert_eq!(idle.answer().end, End::Closed);
+    answer_now.send(()).expect("the host waits");
+    assert_eq!(busy.answer().value.as_deref(), Some("v"));
+    assert_eq!(busy.answer().end, End::Closed);
+    assert!(proxy.wait().success());
+}
+
+#[test]
+fn a_bad_configuration_ends_the_program_with_one_line_that_names_the_key() {
+    let good = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","settings":{SETTINGS}}}"#
+    );
+    for (from, to, key) in [
+        ("127.0.0.1:0", "here", "listen"),
+        ("127.0.0.1:1", "", "discovery"),
+        ("1f", "xyz", "seed"),
+        ("\"settings\"", "\"setings\"", "settings"),
+        ("retryable", "repeatable", "effect"),
+        ("\"seed\"", "\"limits\":{\"sockets\":9},\"seed\"", "limits.sockets"),
+        ("\"seed\"", "\"known\":{\"index\":1},\"seed\"", "known"),
+        ("{", "", "LB_CONFIG"),
+    ] {
+        let out = program(&good.replacen(from, to, 1)).wait_with_output().expect("it ends");
+        let log = String::from_utf8_lossy(&out.stderr);
+        assert_eq!(out.status.code(), Some(2), "{key}: {log}");
+        assert!(log.lines().count() == 1 && log.contains(key), "{key}: {log}");
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,354 @@
+//! Scripted peers on loopback sockets: discovery's agent, database hosts, clients, and the program
+//! among them. Everything a peer sees is an event that a test waits for; nothing here sleeps.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Longer than anything here takes: only a broken program makes a test wait this long.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub const SETTINGS: &str = r#"{"balancers":1,"ordinal":0,"zone":0,"membershipMode":"pushed",
+"azs":["a","b"],"hostTypes":["m"],"loadInfo":{"fields":["x0","x1","util","queue"]},
+"classes":[
+{"name":"browse","deadlineUs":800000,"effect":"retryable","sloUs":200000,"worth":3.0},
+{"name":"history","deadlineUs":20000000,"effect":"retryable","lateWorth":0.9,"sloUs":9000000,"worth":3.0},
+{"name":"ingest","deadlineUs":20000000,"effect":"dedup","dedupScope":"cell","dedupWindowUs":9000000,
+ "lateWorth":0.5,"sloUs":9000000,"worth":4.0}],
+"familyInfo":{"behind":"await","catchUpWaitUs":100000,"classRead":["lag_bound","eventual","mutate"],
+"positions":false,"roleInList":"trailing","stalenessBoundUs":[800000,0,0],"writeMarks":"brought","zeroUs":0},
+"ceilings":{"mostTries":10,"cancel":true,"retryAfter":true,"maxRetryAfterUs":1000000},
+"safety":{"drainGraceUs":500000,"startCapacity":0.2,"coldUs":15000000,"tipMultiple":3.0,
+"overloadForUs":1000000,"askWithinUs":10000000}}"#;
+
+/// An address of its own: no other test, and no outgoing connection, can hold its ports.
+pub fn address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let [_, _, a, b] = std::process::id().to_be_bytes();
+    let ip = [127, 64 + (NEXT.fetch_add(1, Ordering::Relaxed) % 128) as u8, a, b.max(1)];
+    let free = TcpListener::bind(SocketAddr::from((ip, 0))).expect("a loopback port");
+    free.local_addr().expect("bound")
+}
+
+/// What a database host does with a query.
+#[derive(Clone)]
+pub enum Reply {
+    Row(&'static str),
+    Error(&'static str),
+    Silence,
+    Bytes(Vec<u8>),
+    /// Ends the connection, after writing this.
+    Close(Vec<u8>),
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Seen {
+    Opened,
+    Query(String),
+    Closed,
+}
+
+pub struct Host {
+    pub address: SocketAddr,
+    pub seen: Receiver<Seen>,
+}
+
+impl Host {
+    /// A primary whose every query is answered by the script, which gets its number.
+    pub fn start(script: impl Fn(usize, &str) -> Reply + Send + Sync + 'static) -> Host {
+        let listener = TcpListener::bind(address()).expect("bind");
+        let address = listener.local_addr().expect("bound");
+        let (tell, seen) = channel();
+        let (script, count) = (Arc::new(script), Arc::new(Mutex::new(0)));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (script, count, tell) = (script.clone(), count.clone(), tell.clone());
+                thread::spawn(move || {
+                    let _ = tell.send(Seen::Opened);
+                    let _ = converse(stream, &*script, &count, &tell);
+                    let _ = tell.send(Seen::Closed);
+                });
+            }
+        });
+        Host { address, seen }
+    }
+    pub fn next(&self) -> Seen {
+        self.seen.recv_timeout(PATIENCE).expect("the host sees something")
+    }
+    /// Skips to the next query.
+    pub fn query(&self) -> String {
+        loop {
+            if let Seen::Query(text) = self.next() {
+                return text;
+            }
+        }
+    }
+}
+
+fn converse(
+    mut s: TcpStream, script: &dyn Fn(usize, &str) -> Reply, count: &Mutex<usize>, tell: &Sender<Seen>,
+) -> std::io::Result<()> {
+    let mut len = [0; 4];
+    s.read_exact(&mut len)?;
+    s.read_exact(&mut vec![0; u32::from_be_bytes(len) as usize - 4])?;
+    s.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())?;
+    loop {
+        let (kind, body) = read_message(&mut s)?;
+        if kind != b'Q' {
+            return Ok(());
+        }
+        let text = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
+        let n = {
+            let mut count = count.lock().expect("count");
+            *count += 1;
+            *count - 1
+        };
+        let reply = script(n, &text);
+        let _ = tell.send(Seen::Query(text));
+        match reply {
+            Reply::Row(value) => s.write_all(&row(value))?,
+            Reply::Error(code) => s.write_all(&error(code))?,
+            Reply::Silence => {}
+            Reply::Bytes(bytes) => s.write_all(&bytes)?,
+            Reply::Close(bytes) => return s.write_all(&bytes),
+        }
+    }
+}
+
+pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    let len = (body.len() as u32 + 4).to_be_bytes();
+    [&[kind], &len[..], body].concat()
+}
+
+/// A whole answer with one value, from a primary.
+pub fn row(value: &str) -> Vec<u8> {
+    let mut description = b"\0\x01payload\0".to_vec();
+    description.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 255, 255, 255, 255, 255, 255, 0, 1]);
+    let data = [&b"\0\x01"[..], &(value.len() as u32).to_be_bytes(), value.as_bytes()].concat();
+    [
+        message(b'T', &description),
+        message(b'D', &data),
+        message(b'C', b"SELECT 1\0"),
+        message(b'S', b"server_role\0writer\0"),
+        message(b'Z', b"I"),
+    ]
+    .concat()
+}
+
+pub fn error(code: &str) -> Vec<u8> {
+    let body = [b"SERROR\0C", code.as_bytes(), b"\0Mno\0\0"].concat();
+    [message(b'E', &body), message(b'Z', b"I")].concat()
+}
+
+fn read_message(s: &mut TcpStream) -> std::io::Result<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    s.read_exact(&mut head)?;
+    let mut body = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
+    s.read_exact(&mut body)?;
+    Ok((head[0], body))
+}
+
+/// Discovery's agent: what was asked of it, and the lines that its watches get.
+pub struct Agent {
+    pub address: SocketAddr,
+    asked: Receiver<String>,
+    lines: Sender<Option<String>>,
+}
+
+impl Agent {
+    pub fn start() -> Agent {
+        let listener = TcpListener::bind(address()).expect("bind");
+        let address = listener.local_addr().expect("bound");
+        let (tell, asked) = channel();
+        let (lines, next): (Sender<Option<String>>, _) = channel();
+        thread::spawn(move || {
+            for mut s in listener.incoming().flatten() {
+                let mut request = String::new();
+                let mut read = BufReader::new(s.try_clone().expect("clone"));
+                while !request.ends_with("\r\n\r\n") && read.read_line(&mut request).is_ok_and(|n| n > 0) {}
+                let _ = tell.send(request.lines().next().unwrap_or("").to_string());
+                let _ = s.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                // No line ends this watch.
+                while let Ok(Some(line)) = next.recv() {
+                    let _ = write!(s, "{:x}\r\n{line}\n\r\n", line.len() + 1);
+                }
+            }
+        });
+        Agent { address, asked, lines }
+    }
+    pub fn asked(&self) -> String {
+        self.asked.recv_timeout(PATIENCE).expect("the agent is asked")
+    }
+    pub fn line(&self, line: &str) {
+        self.lines.send(Some(line.to_string())).expect("the agent runs");
+    }
+    pub fn end_watch(&self) {
+        self.lines.send(None).expect("the agent runs");
+    }
+}
+
+/// A list, in discovery's form; the first host is the primary of group 3, and all started long ago.
+pub fn list(index: u32, full: bool, hosts: &[(&Host, &str)]) -> String {
+    let entries: Vec<String> = (hosts.iter().enumerate())
+        .map(|(i, (h, status))| {
+            let access = if i == 0 { "writer" } else { "reader" };
+            format!(
+                r#"{{"name":"s-{}","address":"{}","zone":"a","type":"m","group":3,"status":"{status}","weight":1.0,"since_ms":1,"access":"{access}"}}"#,
+                h.address.port(),
+                h.address
+            )
+        })
+        .collect();
+    format!(r#"{{"index":{index},"snapshot":{full},"endpoints":[{}]}}"#, entries.join(","))
+}
+
+/// The program, with the peers it was told of.
+pub struct Proxy {
+    child: Child,
+    pub address: SocketAddr,
+    pub agent: Agent,
+}
+
+impl Proxy {
+    /// Starts it with this list as the known one; it serves once this returns.
+    pub fn start(known: &[&Host], sockets: u32) -> Proxy {
+        let agent = Agent::start();
+        let address = address();
+        let known: Vec<(&Host, &str)> = known.iter().map(|&h| (h, "SERVING")).collect();
+        let config = format!(
+            r#"{{"name":"n0","listen":"{address}","discovery":"{}","seed":"1f","limits":{{"sockets":{sockets}}},"known":{},"settings":{SETTINGS}}}"#,
+            agent.address,
+            list(41, true, &known)
+        );
+        let mut child = program(&config);
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut line = String::new();
+        while !line.contains("serves on") {
+            line.clear();
+            assert!(log.read_line(&mut line).expect("log") > 0, "the program ended before it served");
+        }
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
+        Proxy { child, address, agent }
+    }
+    pub fn client(&self) -> Client {
+        let mut client = Client::connect(self.address);
+        client.send(&startup());
+        assert_eq!(client.answer().end, End::Ready);
+        client
+    }
+    pub fn terminate(&self) {
+        let kill = format!("kill -TERM {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("kill").success());
+    }
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the program ends")
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts the program on a configuration.
+pub fn program(config: &str) -> Child {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("sillfold-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).expect("the configuration is written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sillfold"));
+    for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
+        command.env_remove(key);
+    }
+    command.env("LB_CONFIG", path).stderr(Stdio::piped()).spawn().expect("the program starts")
+}
+
+pub fn startup() -> Vec<u8> {
+    let body = [&196_608u32.to_be_bytes()[..], b"user\0web\0database\0orders\0\0"].concat();
+    [&(body.len() as u32 + 4).to_be_bytes()[..], &body].concat()
+}
+
+pub fn query(text: &str) -> Vec<u8> {
+    message(b'Q', &[text.as_bytes(), b"\0"].concat())
+}
+
+/// A statement in the clients' form.
+pub fn read(id: &str, class: &str, patience_ms: u32) -> String {
+    format!("/* id={id},c={class},d={patience_ms},cluster=3 */ SELECT payload FROM entries WHERE ref = '7f'")
+}
+
+#[derive(Debug, Default, PartialEq)]
+pub enum End {
+    /// ReadyForQuery came.
+    Ready,
+    #[default]
+    Closed,
+}
+
+#[derive(Debug, Default)]
+pub struct Answer {
+    pub value: Option<String>,
+    pub empty: bool,
+    /// Fields of an ErrorResponse: code, message, detail.
+    pub code: String,
+    pub message: String,
+    pub detail: Option<String>,
+    pub end: End,
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("the program accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        Client { stream }
+    }
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("the program reads");
+    }
+    pub fn ask(&mut self, text: &str) -> Answer {
+        self.send(&query(text));
+        self.answer()
+    }
+    /// Reads up to ReadyForQuery or the end of the connection.
+    pub fn answer(&mut self) -> Answer {
+        let mut answer = Answer::default();
+        loop {
+            let (kind, body) = match read_message(&mut self.stream) {
+                Ok(message) => message,
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => panic!("no answer: {answer:?}"),
+                Err(_) => return answer,
+            };
+            match kind {
+                b'Z' => {
+                    answer.end = End::Ready;
+                    return answer;
+                }
+                b'I' => answer.empty = true,
+                b'D' => answer.value = Some(String::from_utf8_lossy(&body[6..]).into_owned()),
+                b'E' => {
+                    for field in body.split(|&b| b == 0).filter(|f| !f.is_empty()) {
+                        let text = String::from_utf8_lossy(&field[1..]).into_owned();
+                        match field[0] {
+                            b'C' => answer.code = text,
+                            b'M' => answer.message = text,
+                            b'D' => answer.detail = Some(text),
+                            _ => {}
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+}
