--- a/src/logic.rs
+++ b/src/logic.rs
@@ -346,7 +346,8 @@
         options.retain(|o| o.0 == tier && o.3);
         let best = options.iter().map(|o| o.1).min_by(f64::total_cmp)?;
         options.retain(|o| o.1 <= best * NEAR);
-        Some(options[self.rng.rand_range(0..options.len() as u64) as usize].2)
+        let n = self.rng.rand_range(0..options.len() as u64) as usize;
+        Some(options[n].2)
     }
 
     /// Whether a class is long beside the others: by its work, before any was seen by its aim.
@@ -606,7 +607,8 @@
             *share = averaged(*share, f64::from(outcome == Outcome::Timeout), OLD);
         }
         s.full_until = s.full_until.max(self.now + pause);
-        s.late = averaged(if outcome == Outcome::Full { 1.0 } else { s.late }, f64::from(late), OLD);
+        s.late = if outcome == Outcome::Full { 1.0 } else { s.late };
+        s.late = averaged(s.late, f64::from(late), OLD);
         if s.late > LATE_SHARE {
             if late && self.now >= s.cut_at {
                 s.limit = (s.limit.min(f64::from(s.in_flight) + 1.0) * CUT).max(1.0);
@@ -750,12 +752,10 @@
     /// Held requests go out when they can, and get their final answer once they no longer can.
     fn release(&mut self, group: GroupId) {
         let Some(g) = self.groups.get_mut(&group) else { return };
-        // Writes first, since reads that have other places crowd them out; then most worth per work.
+        // Most worth per work first.
         let mut held = std::mem::take(&mut g.held);
         let value = |id: &RequestId| {
-            let Some(r) = self.requests.get(id) else { return 0.0 };
-            let c = &self.set.classes[r.class];
-            if c.need == Need::Write { f64::MAX } else { c.worth / self.classes[r.class].p50 }
+            self.requests.get(id).map_or(0.0, |r| self.set.classes[r.class].worth / self.classes[r.class].p50)
         };
         held.sort_by(|a, b| value(b).total_cmp(&value(a)));
         for id in held {
