--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 //!
 //! `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` outrank the same keys of the file.
 
+use crate::net::core::fnv1a;
 use crate::net::discovery::Listing;
 use serde::Deserialize;
 use sillfold::settings::{self, Dialect};
@@ -17,7 +18,9 @@
 /// The fewest descriptors with which the program can work.
 const LEAST_SOCKETS: usize = 96;
 /// After SIGTERM clients still come for up to 0.4 s; served for a little longer than that.
-const LINGER: Duration = Duration::from_millis(500);
+const LINGER_MS: u64 = 500;
+/// The longest such while that makes sense: a stop is to end some day.
+const MOST_LINGER_MS: u64 = 60_000;
 /// Kept back from a client's patience for the way back, so that the answer is there in time.
 const WAY_BACK: Micros = 4_000;
 
@@ -35,6 +38,7 @@
     pub most_clients: usize,
     /// Connections to database hosts that may be open at once.
     pub most_host_connections: usize,
+    /// For how long clients are still taken in after SIGTERM.
     pub linger: Duration,
     pub way_back: Micros,
 }
@@ -46,6 +50,7 @@
     discovery: Option<String>,
     seed: Option<String>,
     limits: Option<LimitsConf>,
+    linger_ms: Option<u64>,
     known: Option<serde_json::Value>,
     settings: Option<serde_json::Value>,
 }
@@ -73,7 +78,7 @@
             Some(text) => u64::from_str_radix(&text, 16)
                 .map_err(|_| format!("seed: {text:?} is not a hexadecimal number of 64 bits"))?,
             // No proxy may draw the same lots as another: fall back on what tells them apart.
-            None => sillfold_hash(&name) ^ u64::from(std::process::id()),
+            None => fnv1a(&name) ^ u64::from(std::process::id()),
         };
         let known = file.known.map(|v| Listing::from_value(v).map_err(|e| format!("known: {e}")));
         let settings = file.settings.ok_or("settings: missing")?.to_string();
@@ -95,6 +100,10 @@
         if sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets: {sockets} is under {LEAST_SOCKETS}"));
         }
+        let linger_ms = file.linger_ms.unwrap_or(LINGER_MS);
+        if linger_ms > MOST_LINGER_MS {
+            return Err(format!("linger_ms: {linger_ms} is over {MOST_LINGER_MS}"));
+        }
         let most_host_connections = (sockets - SPARE_SOCKETS) * 2 / 5;
         let most_clients = sockets - SPARE_SOCKETS - most_host_connections;
         Ok(Config {
@@ -107,7 +116,7 @@
             dialect,
             most_clients,
             most_host_connections,
-            linger: LINGER,
+            linger: Duration::from_millis(linger_ms),
             way_back: WAY_BACK,
         })
     }
@@ -117,8 +126,3 @@
     let text = value.ok_or_else(|| format!("{key}: missing (or set {var})"))?;
     text.parse().map_err(|_| format!("{key}: {text:?} is no address and port (key {key} or {var})"))
 }
-
-/// FNV-1a over a name: the same at every proxy, so that ids agree between them.
-pub fn sillfold_hash(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -4,9 +4,8 @@
 //! point of choice it asks the core.
 
 use super::by;
-use super::core::{Call, Clock, Core, Ending, Order};
+use super::core::{Call, Clock, Core, Ending, Order, fnv1a};
 use super::hosts::{Attempted, Hosts};
-use crate::config::sillfold_hash;
 use crate::pg::{self, ErrorFields, Frontend, Row, Startup, Statement, code};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -279,7 +278,7 @@
         let patience = statement.patience_ms.min(MOST_PATIENCE_MS) * 1_000;
         let call = Call {
             class,
-            session: sillfold_hash(statement.key()),
+            session: fnv1a(statement.key()),
             group: statement.group,
             // The answer has to be there by then, not only on its way.
             give_up_at: came + patience.saturating_sub(self.all.way_back).max(patience / 2),
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -4,7 +4,6 @@
 //! never touch a socket, name a message of any protocol, or decide anything itself.
 
 use super::discovery::{Listing, Status};
-use crate::config::sillfold_hash;
 use async_channel::{Receiver, Sender, TryRecvError, unbounded};
 use async_io::Timer;
 use futures_lite::future;
@@ -52,6 +51,11 @@
     }
 }
 
+/// FNV-1a over a name: the same at every proxy, so that the numbers drawn from names agree.
+pub fn fnv1a(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
 /// What a request's task is told to do next.
 #[derive(Debug)]
 pub enum Order {
@@ -263,12 +267,14 @@
                 Action::Timer { at, mark } => inner.timers.push(Reverse((at, mark))),
                 Action::Probe(server) => drop(self.chores.try_send(Chore::Probe(server))),
                 Action::CloseIdle(server) => drop(self.chores.try_send(Chore::CloseIdle(server))),
-                Action::Log(text) => match text.split(' ').nth(1).and_then(|id| id.parse().ok()) {
-                    Some(id) if inner.names.contains_key(&id) => {
-                        eprintln!("module: {} is {}", text, inner.names[&id]);
+                Action::Log(text) => {
+                    // Operators know names, the module numbers.
+                    let number = text.split(' ').nth(1).unwrap_or("");
+                    match number.parse().ok().and_then(|id: ServerId| inner.names.get(&id)) {
+                        Some(name) => eprintln!("module: {}", text.replacen(number, name, 1)),
+                        None => eprintln!("module: {text}"),
                     }
-                    _ => eprintln!("module: {text}"),
-                },
+                }
                 // Discovery pushes by itself, and proxies have no way to talk to each other.
                 Action::Subscribe | Action::TellAll(_) => {}
             }
@@ -309,7 +315,7 @@
         if let Some(&id) = self.ids.get(name) {
             return id;
         }
-        let hash = sillfold_hash(name);
+        let hash = fnv1a(name);
         let mut id = (hash ^ (hash >> 32)) as ServerId;
         while self.names.contains_key(&id) {
             id = id.wrapping_add(1);
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -26,6 +26,8 @@
 /// Share of the idle limit after which a connection is no longer used: a request written to it as
 /// the host closes it would end as a reset.
 const FRESH: f64 = 0.8;
+/// This much before a drain's grace ends nothing more is written to the host.
+const DRAIN_MARGIN: Duration = Duration::from_millis(25);
 
 /// A descriptor in the budget; dropping it gives it back.
 struct Slot(Rc<Cell<usize>>);
@@ -145,7 +147,7 @@
             None => return Attempted::without_answer(Outcome::ConnectFailed),
         };
         // Guards against a send that began in time, and whose dial outlasted the grace of a drain.
-        if self.off_for(server) + self.dial_timeout / 10 > self.drain_grace {
+        if self.off_for(server).is_some_and(|off| off + DRAIN_MARGIN > self.drain_grace) {
             return Attempted::without_answer(Outcome::Moot);
         }
         let left = until.saturating_sub(self.core.clock.now()).div_ceil(1_000).max(1);
@@ -201,9 +203,9 @@
         }
     }
 
-    fn off_for(&self, server: ServerId) -> Duration {
-        let hosts = self.hosts.borrow();
-        hosts.get(&server).and_then(|h| h.off_since).map_or(Duration::ZERO, |at| at.elapsed())
+    /// For how long the host has been known to drain or to be gone, if it is.
+    fn off_for(&self, server: ServerId) -> Option<Duration> {
+        Some(self.hosts.borrow().get(&server)?.off_since?.elapsed())
     }
 
     /// An idle connection that still stands, or a new one; or the outcome that its lack amounts to.
@@ -218,7 +220,8 @@
             }
             host.address
         };
-        let slot = self.slot().ok_or(Outcome::ConnectFailed)?;
+        // Our own want of a descriptor says nothing of the host's health.
+        let slot = self.slot().ok_or(Outcome::Moot)?;
         Connection::dial(address, slot).await
     }
 
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -2,8 +2,9 @@
 //! encoded once. It owns the layout of messages and the limits on their length. It must never do
 //! I/O, and never decide what an answer means for a request.
 
-/// The longest message accepted: a value of 64 KiB as hexadecimal text, with room around it.
-pub const MOST_BYTES: usize = 256 * 1024;
+/// The longest message accepted: a value of 64 KiB as hexadecimal text, with room around it. Every
+/// connection of the budget may hold one, and all of them fit into the memory limit.
+pub const MOST_BYTES: usize = 160 * 1024;
 /// The longest startup packet accepted, as in PostgreSQL itself.
 const MOST_STARTUP: usize = 10_000;
 
