Make the socket stories order-proof and prove that each one bites

Seen: pinned to one core beside three busy loops, three stories failed now and then: two waited for events of two connections in one order, and the one on the planned stop took the first query to arrive for the first one sent.

Seen: with the pool's check, the close after nonsense, or the wait before an empty query's answer taken out, no story failed. Each of these stories was sharpened until it did; the one on clients that leave already did.

New story: a host that drains gets nothing new.

--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -32,7 +32,9 @@
 fn one_connection_serves_request_after_request_and_a_dead_one_is_not_written_to() {
     // The second answer is followed by the end of the connection.
     let host = Host::start(|n, _| if n == 1 { Reply::Close(row("v")) } else { Reply::Row("v") });
-    let proxy = Proxy::start(&[&host], 1024);
+    // With one attempt a request, none can make good for one that was written to a dead connection.
+    let one = |config: String| config.replace("\"mostTries\":10", "\"mostTries\":1");
+    let proxy = Proxy::start_with(&[&host], 1024, one);
     let mut client = proxy.client();
     for id in ["1", "2"] {
         assert_eq!(client.ask(&read(id, "history", 9000)).value.as_deref(), Some("v"));
@@ -46,15 +48,12 @@
 
 #[test]
 fn nonsense_from_a_host_fails_the_attempt_closes_its_connection_and_another_attempt_serves() {
-    let nonsense = [message(b'T', b"\0\x05"), message(b'Z', b"I")].concat();
+    let nonsense = message(b'T', b"\0\x05");
     let host = Host::start(move |n, _| if n == 0 { Reply::Bytes(nonsense.clone()) } else { Reply::Row("v") });
     let proxy = Proxy::start(&[&host], 1024);
     let answer = proxy.client().ask(&read("1", "history", 9000));
     assert_eq!(answer.value.as_deref(), Some("v"), "{answer:?}");
-    assert_eq!(host.next(), Seen::Opened);
-    assert!(matches!(host.next(), Seen::Query(_)));
-    let rest = [host.next(), host.next()];
-    assert!(rest.contains(&Seen::Closed) && rest.contains(&Seen::Opened), "{rest:?}");
+    while host.next() != Seen::Closed {}
 }
 
 #[test]
@@ -86,17 +85,13 @@
 }
 
 #[test]
-fn a_write_that_may_have_run_is_repeated_inside_its_window_with_its_key_and_one_at_a_time() {
+fn a_write_that_may_have_run_is_repeated_inside_its_window_with_its_key() {
     let host = Host::start(|n, _| if n == 0 { Reply::Close(vec![]) } else { Reply::Row("v") });
     let proxy = Proxy::start(&[&host], 1024);
     let text = "/* id=1,c=ingest,d=9000,k=5c0f,cluster=3 */ INSERT INTO entries VALUES ('7f', '1')";
     assert_eq!(proxy.client().ask(text).value.as_deref(), Some("v"));
-    assert_eq!(host.next(), Seen::Opened);
-    let first = host.next();
-    assert_eq!(host.next(), Seen::Closed);
-    assert_eq!(host.next(), Seen::Opened);
-    for seen in [first, host.next()] {
-        assert!(matches!(&seen, Seen::Query(text) if text.contains("id=1,") && text.contains("k=5c0f,")));
+    for passed in [host.query(), host.query()] {
+        assert!(passed.contains("id=1,") && passed.contains("k=5c0f,"), "{passed}");
     }
 }
 
@@ -196,6 +191,23 @@
     assert_eq!(client.ask(&read("2", "history", 9000)).value.as_deref(), Some("new"));
 }
 
+#[test]
+fn a_host_that_drains_gets_nothing_new() {
+    let (primary, replica) = (served("primary"), served("replica"));
+    let proxy = Proxy::start(&[&primary, &replica], 1024);
+    let mut client = proxy.client();
+    // Reads go to replicas, as long as there are any.
+    assert_eq!(client.ask(&read("1", "browse", 9000)).value.as_deref(), Some("replica"));
+    proxy.agent.asked();
+    proxy.agent.line(&list(44, true, &[(&primary, "SERVING"), (&replica, "DRAINING")]));
+    proxy.agent.end_watch();
+    // Reopened at that version: the news has been taken in.
+    assert!(proxy.agent.asked().contains("index=44 "));
+    for id in ["2", "3", "4", "5"] {
+        assert_eq!(client.ask(&read(id, "browse", 9000)).value.as_deref(), Some("primary"));
+    }
+}
+
 #[test]
 fn a_probe_reads_the_report_and_what_it_tells_of_the_role_counts() {
     // Listed as the primary, it says itself that it is none (x1=0), at a position in Unix seconds.
@@ -213,19 +225,21 @@
     let proxy = Proxy::start(&[], 1024);
     let mut client = proxy.client();
     assert_eq!(client.ask(&read("1", "history", 9000)).code, "57P03");
-    client.send(&query(""));
+    client.send(&[query(""), query(&read("2", "history", 9000))].concat());
+    // Another client is answered meanwhile: the empty query waits, and what follows it.
+    assert_eq!(proxy.client().ask(&read("3", "history", 9000)).code, "57P03");
     proxy.agent.asked();
     proxy.agent.line(&list(42, true, &[(&host, "SERVING")]));
     assert!(client.answer().empty);
-    assert_eq!(client.ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
+    assert_eq!(client.answer().value.as_deref(), Some("v"));
 }
 
 #[test]
 fn sigterm_answers_what_was_taken_serves_newcomers_for_a_while_and_exits_with_0() {
     let (answer_now, may_answer) = std::sync::mpsc::channel::<()>();
     let may_answer = std::sync::Mutex::new(may_answer);
-    let host = Host::start(move |n, _| {
-        if n == 0 {
+    let host = Host::start(move |_, text| {
+        if text.contains("id=1,") {
             let _ = may_answer.lock().expect("lock").recv_timeout(PATIENCE);
         }
         Reply::Row("v")
