Bind each port of the socket stories once

Cause: tests/support/mod.rs took a free port by binding and dropping a listener, then bound it again; a child that another story was just starting held a copy of that listener between fork and exec.

Ruled out: a clash of addresses (each call takes its own), ports of outgoing connections (they leave from 127.0.0.1).

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,7 +2,7 @@
 //! among them. Everything a peer sees is an event that a test waits for; nothing here sleeps.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -26,13 +26,19 @@
 "safety":{"drainGraceUs":500000,"startCapacity":0.2,"coldUs":15000000,"tipMultiple":3.0,
 "overloadForUs":1000000,"askWithinUs":10000000}}"#;
 
-/// An address of its own: no other test, and no outgoing connection, can hold its ports.
-pub fn address() -> SocketAddr {
+/// The port on which the program listens, at an address of its own.
+const PORT: u16 = 20433;
+
+/// A loopback address that nothing else uses. A port is never bound twice: a child that another test
+/// is just starting holds a copy of every listener until it runs its program.
+fn address() -> IpAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let [_, _, a, b] = std::process::id().to_be_bytes();
-    let ip = [127, 64 + (NEXT.fetch_add(1, Ordering::Relaxed) % 128) as u8, a, b.max(1)];
-    let free = TcpListener::bind(SocketAddr::from((ip, 0))).expect("a loopback port");
-    free.local_addr().expect("bound")
+    IpAddr::from([127, 64 + (NEXT.fetch_add(1, Ordering::Relaxed) % 128) as u8, a, b.max(1)])
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind((address(), 0)).expect("a loopback port")
 }
 
 /// What a database host does with a query.
@@ -61,7 +67,7 @@
 impl Host {
     /// A primary whose every query is answered by the script, which gets its number.
     pub fn start(script: impl Fn(usize, &str) -> Reply + Send + Sync + 'static) -> Host {
-        let listener = TcpListener::bind(address()).expect("bind");
+        let listener = listener();
         let address = listener.local_addr().expect("bound");
         let (tell, seen) = channel();
         let (script, count) = (Arc::new(script), Arc::new(Mutex::new(0)));
@@ -79,7 +85,7 @@
     }
     /// One at which no session ever comes up.
     pub fn mute() -> Host {
-        let listener = TcpListener::bind(address()).expect("bind");
+        let listener = listener();
         let address = listener.local_addr().expect("bound");
         let (tell, seen) = channel();
         thread::spawn(move || {
@@ -176,7 +182,7 @@
 
 impl Agent {
     pub fn start() -> Agent {
-        let listener = TcpListener::bind(address()).expect("bind");
+        let listener = listener();
         let address = listener.local_addr().expect("bound");
         let (tell, asked) = channel();
         let (lines, next): (Sender<Option<String>>, _) = channel();
@@ -237,7 +243,7 @@
     /// The same, on a configuration that has been changed.
     pub fn start_with(known: &[&Host], sockets: u32, change: impl Fn(String) -> String) -> Proxy {
         let agent = Agent::start();
-        let address = address();
+        let address = SocketAddr::new(address(), PORT);
         let known: Vec<(&Host, &str)> = known.iter().map(|&h| (h, "SERVING")).collect();
         let config = format!(
             r#"{{"name":"n0","listen":"{address}","discovery":"{}","seed":"1f","limits":{{"sockets":{sockets}}},"known":{},"settings":{SETTINGS}}}"#,
