Read the configuration again on SIGHUP and move the watch of discovery

Cause: main.rs asked for SIGTERM and SIGINT only, so SIGHUP kept its default; and config.rs lets LB_DISCOVERY outrank the file, so that a new address in the file would not have counted either. Ruled out: taking the move without the second half. With SIGHUP handled but LB_DISCOVERY still outranking the file, the new story's second agent is never asked and the test fails after its patience. Now: one task takes all signals to the end, so that a SIGHUP during a stop is a reload too. The file is checked whole; only a discovery that differs from what the file said before is taken over, and the watch leaves the old agent at once, in whatever wait it was, and goes on from its version. Numbers of hosts, open requests and the module are not touched. A bad file is logged with its key. The new test fails without the change (program gone) and with the environment outranking the file.

--- a/src/config.rs
+++ b/src/config.rs
@@ -2,7 +2,9 @@
 //! and given defaults. It owns the names of the keys; every message it returns names the faulty
 //! one. It must never open a socket, and nothing else may read the environment.
 //!
-//! `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` outrank the same keys of the file.
+//! At the start `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` outrank the same keys of the file. On a
+//! reload the file is checked as at a start; a `discovery` that it names anew then wins, since the
+//! environment of a running program cannot change. All other keys count at the next start.
 
 use crate::net::core::fnv1a;
 use crate::net::discovery::Listing;
@@ -41,9 +43,11 @@
     /// For how long clients are still taken in after SIGTERM.
     pub linger: Duration,
     pub way_back: Micros,
+    /// What the file itself says, to tell at a reload what is new.
+    file: File,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize)]
 struct File {
     name: Option<String>,
     listen: Option<String>,
@@ -55,7 +59,7 @@
     settings: Option<serde_json::Value>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize, PartialEq)]
 struct LimitsConf {
     sockets: Option<usize>,
 }
@@ -63,25 +67,45 @@
 impl Config {
     /// Reads the environment and the file it names.
     pub fn load() -> Result<Config, String> {
-        let path = env::var("LB_CONFIG").map_err(|_| "LB_CONFIG: not set".to_string())?;
-        let text = std::fs::read(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
-        Config::parse(&text, |key| env::var(key).ok())
+        Config::parse(&read_file()?, |key| env::var(key).ok())
+    }
+
+    /// Reads the file again, whole. The discovery that counts from now on is taken over; returned are
+    /// the other keys that differ, which count at the next start. After an error nothing has changed.
+    pub fn reload(&mut self) -> Result<Vec<&'static str>, String> {
+        let fresh = Config::parse(&read_file()?, |key| env::var(key).ok())?;
+        let (old, new) = (&self.file, &fresh.file);
+        if let Some(discovery) = new.discovery.clone().filter(|d| old.discovery.as_ref() != Some(d)) {
+            self.discovery = address("discovery", Some(discovery), "LB_DISCOVERY")?;
+        }
+        let differs = [
+            ("name", old.name != new.name),
+            ("listen", old.listen != new.listen),
+            ("limits", old.limits != new.limits),
+            ("linger_ms", old.linger_ms != new.linger_ms),
+            ("settings", old.settings != new.settings),
+        ];
+        self.file = fresh.file;
+        Ok(differs.into_iter().filter(|d| d.1).map(|d| d.0).collect())
     }
 
     /// Checks the text of the file, with the variables that outrank it.
     fn parse(text: &[u8], var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-        let file: File = serde_json::from_slice(text).map_err(|e| format!("LB_CONFIG: {e}"))?;
-        let listen = address("listen", var("LB_LISTEN").or(file.listen), "LB_LISTEN")?;
-        let discovery = address("discovery", var("LB_DISCOVERY").or(file.discovery), "LB_DISCOVERY")?;
-        let name = var("LB_NAME").or(file.name).ok_or("name: missing (or set LB_NAME)")?;
-        let seed = match file.seed {
-            Some(text) => u64::from_str_radix(&text, 16)
+        let mut file: File = serde_json::from_slice(text).map_err(|e| format!("LB_CONFIG: {e}"))?;
+        let listen = address("listen", var("LB_LISTEN").or(file.listen.clone()), "LB_LISTEN")?;
+        let discovery = var("LB_DISCOVERY").or(file.discovery.clone());
+        let discovery = address("discovery", discovery, "LB_DISCOVERY")?;
+        // Guards against an address of the file that the environment hides today and a reload would use.
+        file.discovery.clone().map(|d| address("discovery", Some(d), "LB_DISCOVERY")).transpose()?;
+        let name = var("LB_NAME").or(file.name.clone()).ok_or("name: missing (or set LB_NAME)")?;
+        let seed = match &file.seed {
+            Some(text) => u64::from_str_radix(text, 16)
                 .map_err(|_| format!("seed: {text:?} is not a hexadecimal number of 64 bits"))?,
             // No proxy may draw the same lots as another: fall back on what tells them apart.
             None => fnv1a(&name) ^ u64::from(std::process::id()),
         };
-        let known = file.known.map(|v| Listing::from_value(v).map_err(|e| format!("known: {e}")));
-        let settings = file.settings.ok_or("settings: missing")?.to_string();
+        let known = file.known.take().map(|v| Listing::from_value(v).map_err(|e| format!("known: {e}")));
+        let settings = file.settings.as_ref().ok_or("settings: missing")?.to_string();
         let (settings, dialect) = settings::parse(settings.as_bytes()).map_err(|e| e.to_string())?;
         for (key, value) in
             [("dialTimeoutUs", dialect.dial_timeout_us), ("keepaliveUs", dialect.keepalive_us)]
@@ -96,7 +120,7 @@
         if settings.limits.second_copies {
             return Err("settings: ceilings.secondCopies: this proxy sends no second copies".into());
         }
-        let sockets = file.limits.and_then(|l| l.sockets).unwrap_or(1024);
+        let sockets = file.limits.as_ref().and_then(|l| l.sockets).unwrap_or(1024);
         if sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets: {sockets} is under {LEAST_SOCKETS}"));
         }
@@ -118,10 +142,16 @@
             most_host_connections,
             linger: Duration::from_millis(linger_ms),
             way_back: WAY_BACK,
+            file,
         })
     }
 }
 
+fn read_file() -> Result<Vec<u8>, String> {
+    let path = env::var("LB_CONFIG").map_err(|_| "LB_CONFIG: not set".to_string())?;
+    std::fs::read(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))
+}
+
 fn address(key: &str, value: Option<String>, var: &str) -> Result<SocketAddr, String> {
     let text = value.ok_or_else(|| format!("{key}: missing (or set {var})"))?;
     text.parse().map_err(|_| format!("{key}: {text:?} is no address and port (key {key} or {var})"))
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
-//! The real proxy: start-up, the planned stop and exit codes. It owns the executor and the order in
-//! which the parts start and stop. It must never decide about a request nor speak on a socket.
+//! The real proxy: start-up, signals, the planned stop and exit codes. It owns the executor and the
+//! order in which the parts start and stop. It must never decide about a request nor speak on a socket.
+//! SIGHUP reads the configuration again, SIGTERM and SIGINT stop the program in order.
 //!
 //! Exit codes: 0 after SIGTERM, 2 for a configuration that will not do.
 
@@ -7,6 +8,7 @@
 mod net;
 mod pg;
 
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -16,7 +18,7 @@
 use net::core::Core;
 use net::discovery;
 use net::hosts::Hosts;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,14 +38,15 @@
     }
 }
 
-async fn serve(config: Config, executor: &Rc<LocalExecutor<'static>>) -> Result<(), String> {
+async fn serve(mut config: Config, executor: &Rc<LocalExecutor<'static>>) -> Result<(), String> {
     // Before anything can be asked of the program, so that no early SIGTERM kills it outright.
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let listener = Async::<TcpListener>::bind(config.listen)
         .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?;
     let drain_grace = config.settings.safety.drain_grace;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let (core, todo) = Core::new(config.settings, config.dialect, config.seed);
+    let (core, todo) = Core::new(config.settings.clone(), config.dialect.clone(), config.seed);
     let core = Rc::new(core);
     let hosts = Rc::new(Hosts::new(core.clone(), config.most_host_connections, drain_grace));
     let clients = Clients::new(core.clone(), hosts.clone(), config.most_clients, config.way_back);
@@ -52,7 +55,7 @@
     if let Some(known) = &config.known {
         hosts.listed(&core.list(known, true), known);
     }
-    let known = config.known.map(|k| k.index);
+    let known = config.known.take().map(|k| k.index);
     executor.spawn(hosts.clone().run_chores(todo, executor.clone())).detach();
     executor
         .spawn({
@@ -66,22 +69,51 @@
             async move { core.run_timers().await }
         })
         .detach();
-    executor.spawn(async move { discovery::run(config.discovery, known, &core, &hosts).await }).detach();
+    let (moves, moved) = async_channel::unbounded();
+    let discovery = config.discovery;
+    executor.spawn(async move { discovery::run(discovery, moved, known, &core, &hosts).await }).detach();
     eprintln!("sillfold: {} serves on {}", config.name, config.listen);
+    let (name, linger) = (config.name.clone(), config.linger);
 
-    let stop = async { drop(signals.next().await) };
-    future::or(clients.accept(&listener, executor), stop).await;
-    eprintln!("sillfold: {} stops", config.name);
+    // A task of its own, so that a SIGHUP during the stop is still a reload and not the program's end.
+    let (stop, stopped) = async_channel::bounded(1);
+    let handle_signals = async move {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => reload(&mut config, &moves),
+                _ => drop(stop.try_send(())),
+            }
+        }
+    };
+    executor.spawn(handle_signals).detach();
+    future::or(clients.accept(&listener, executor), async { _ = stopped.recv().await }).await;
+    eprintln!("sillfold: {name} stops");
     // Clients go on coming for a while, and are served as ever.
     let lingered = async {
-        Timer::after(config.linger).await;
+        Timer::after(linger).await;
     };
     future::or(clients.accept(&listener, executor), lingered).await;
     clients.accept_rest(&listener, executor);
     drop(listener);
     let latest = Instant::now() + Duration::from_micros(longest) + STOP_SLACK;
     if net::by(latest, clients.close()).await.is_none() {
-        eprintln!("sillfold: {} stops with clients that would not end", config.name);
+        eprintln!("sillfold: {name} stops with clients that would not end");
     }
     Ok(())
 }
+
+/// Takes in a changed file. What cannot change while the program runs is told; a bad file changes nothing.
+fn reload(config: &mut Config, moves: &Sender<SocketAddr>) {
+    let before = config.discovery;
+    match config.reload() {
+        Ok(waiting) => {
+            let waits = waiting.iter().map(|key| format!("; {key} counts at the next start"));
+            eprintln!("sillfold: reloaded, discovery is {}{}", config.discovery, waits.collect::<String>());
+            if config.discovery != before {
+                // The receiver lives as long as the program.
+                let _ = moves.try_send(config.discovery);
+            }
+        }
+        Err(what) => eprintln!("sillfold: the configuration stays as it was: {what}"),
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,8 +5,9 @@
 use super::by;
 use super::core::Core;
 use super::hosts::Hosts;
+use async_channel::Receiver;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use serde::Deserialize;
 use sillfold::GroupId;
 use std::net::{SocketAddr, TcpStream};
@@ -96,18 +97,34 @@
     }
 }
 
-/// Keeps the list current, from the version that is known.
-pub async fn run(agent: SocketAddr, known: Option<u64>, core: &Core, hosts: &Hosts) {
+/// Keeps the list current, from the version that is known, at the agent last moved to. A move leaves
+/// the old agent at once, whatever is out there, and the watch goes on where it was.
+pub async fn run(
+    mut agent: SocketAddr, moved: Receiver<SocketAddr>, known: Option<u64>, core: &Core, hosts: &Hosts,
+) {
     let mut index = known;
     let mut wait = FIRST_WAIT;
     loop {
-        let before = Instant::now();
-        if let Err(what) = session(agent, &mut index, core, hosts).await {
-            eprintln!("discovery: {what}");
+        let watch = async {
+            let before = Instant::now();
+            if let Err(what) = session(agent, &mut index, core, hosts).await {
+                eprintln!("discovery: {what}");
+            }
+            // A watch that held for a while may be reopened at once; a refusal is not hammered.
+            wait = if before.elapsed() > LONGEST_WAIT { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
+            Timer::after(wait).await;
+            None
+        };
+        // Guards against a move that waits for the end of a try at an agent that is silent.
+        let next = future::or(watch, async {
+            match moved.recv().await {
+                Ok(next) => Some(next),
+                Err(_) => future::pending().await,
+            }
+        });
+        if let Some(next) = next.await {
+            (agent, wait) = (next, FIRST_WAIT);
         }
-        // A watch that held for a while may be reopened at once; a refusal is not hammered.
-        wait = if before.elapsed() > LONGEST_WAIT { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
-        Timer::after(wait).await;
     }
 }
 
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -249,7 +249,7 @@
     let (mut busy, mut idle) = (proxy.client(), proxy.client());
     busy.send(&query(&read("1", "history", 9000)));
     assert_eq!(host.next(), Seen::Opened);
-    proxy.terminate();
+    proxy.signal("TERM");
     assert_eq!(proxy.client().ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
     // The idle connection ends by itself; the busy one only after its answer.
     assert_eq!(idle.answer().end, End::Closed);
@@ -259,6 +259,38 @@
     assert!(proxy.wait().success());
 }
 
+#[test]
+fn a_reload_moves_the_watch_and_a_bad_file_or_a_stop_at_the_same_time_does_no_harm() {
+    let (answer_now, may_answer) = std::sync::mpsc::channel::<()>();
+    let may_answer = std::sync::Mutex::new(may_answer);
+    let old = Host::start(move |_, _| {
+        let _ = may_answer.lock().expect("lock").recv_timeout(PATIENCE);
+        Reply::Row("old")
+    });
+    let new = served("new");
+    let mut proxy = Proxy::start(&[&old], 1024);
+    proxy.agent.asked();
+    let mut busy = proxy.client();
+    busy.send(&query(&read("1", "history", 9000)));
+    assert_eq!(old.next(), Seen::Opened);
+    proxy.reload("retryable", "repeatable");
+    proxy.logged("stays as it was: settings: effect");
+    // Though the environment still names the first agent.
+    let next = Agent::start();
+    proxy.reload(&proxy.agent.address.to_string(), &next.address.to_string());
+    assert!(next.asked().contains("stream=1&index=41 "));
+    next.line(&list(42, true, &[(&new, "SERVING")]));
+    next.end_watch();
+    assert!(next.asked().contains("index=42 "));
+    assert_eq!(proxy.client().ask(&read("2", "history", 9000)).value.as_deref(), Some("new"));
+    // What was open before the reload is still answered, though a stop comes with another one.
+    proxy.signal("TERM");
+    proxy.signal("HUP");
+    answer_now.send(()).expect("the host waits");
+    assert_eq!(busy.answer().value.as_deref(), Some("old"));
+    assert!(proxy.wait().success());
+}
+
 #[test]
 fn a_bad_configuration_ends_the_program_with_one_line_that_names_the_key() {
     let good = format!(
@@ -275,7 +307,7 @@
         ("\"seed\"", "\"known\":{\"index\":1},\"seed\"", "known"),
         ("{", "", "LB_CONFIG"),
     ] {
-        let out = program(&good.replacen(from, to, 1)).wait_with_output().expect("it ends");
+        let out = program(&good.replacen(from, to, 1), &[]).0.wait_with_output().expect("it ends");
         let log = String::from_utf8_lossy(&out.stderr);
         assert_eq!(out.status.code(), Some(2), "{key}: {log}");
         assert!(log.lines().count() == 1 && log.contains(key), "{key}: {log}");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -233,6 +234,8 @@
     pub address: SocketAddr,
     pub agent: Agent,
     log: Receiver<String>,
+    config: String,
+    path: PathBuf,
 }
 
 impl Proxy {
@@ -250,7 +253,9 @@
             agent.address,
             list(41, true, &known)
         );
-        let mut child = program(&change(config));
+        let config = change(config);
+        // As deployed: the environment names discovery too.
+        let (mut child, path) = program(&config, &[("LB_DISCOVERY", &agent.address.to_string())]);
         let log = BufReader::new(child.stderr.take().expect("piped"));
         let (tell, lines) = channel();
         thread::spawn(move || {
@@ -259,7 +264,7 @@
                 let _ = tell.send(line);
             }
         });
-        let proxy = Proxy { child, address, agent, log: lines };
+        let proxy = Proxy { child, address, agent, log: lines, config, path };
         proxy.logged("serves on");
         proxy
     }
@@ -273,10 +278,17 @@
         assert_eq!(client.answer().end, End::Ready);
         client
     }
-    pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("kill").success());
     }
+    /// Puts a changed configuration in place of the file and says so.
+    pub fn reload(&self, from: &str, to: &str) {
+        let next = self.path.with_extension("next");
+        std::fs::write(&next, self.config.replace(from, to)).expect("the configuration is written");
+        std::fs::rename(&next, &self.path).expect("it is put in place");
+        self.signal("HUP");
+    }
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("the program ends")
     }
@@ -289,17 +301,18 @@
     }
 }
 
-/// Starts the program on a configuration.
-pub fn program(config: &str) -> Child {
+/// Starts the program on a configuration, whose file is returned too.
+pub fn program(config: &str, env: &[(&str, &str)]) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let name = format!("sillfold-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("the configuration is written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_sillfold"));
     for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
         command.env_remove(key);
     }
-    command.env("LB_CONFIG", path).stderr(Stdio::piped()).spawn().expect("the program starts")
+    command.envs(env.iter().copied()).env("LB_CONFIG", &path).stderr(Stdio::piped());
+    (command.spawn().expect("the program starts"), path)
 }
 
 pub fn startup() -> Vec<u8> {
