Take places from clients that say nothing, half of something, or stay after asking

Cause: client.rs let a connection rest for ever, and one that never opened its session for 10 s. 1,256 clients asked once and stayed, and 135 places were full after ten seconds; begin() then dropped newcomers past eight refusals unheard. Read beside it, and cured with it: a half-sent message was waited for without end; a refusal waited for a startup packet; the farewell ended after 200 ms, under a client still sending 60 MB; answers to pipelined commands waited for the last one's; each message moved all bytes behind it; every connection kept the memory of its longest message, and each task 5 KB of read buffer; a second request with an id that is open went to a host; a text that is no UTF-8 ended the session. Ruled out: the hosts' side (full 0, 22 to 55 failed dials per 5 s) and memory (3 of 32 MB). Now: 2.5 s for something whole, 10 s of rest, less when a newcomer finds no place: the longest silent goes first, then whoever rested over 2 s. Whoever finds none hears so at once. All bytes not yet answered share an allowance; reads land in one buffer; decoding moves nothing. A first try accepted without yielding and refused a newcomer behind a crowd of silent ones, which the story caught.

--- a/src/config.rs
+++ b/src/config.rs
@@ -19,6 +19,11 @@
 const SPARE_SOCKETS: usize = 32;
 /// The fewest descriptors with which the program can work.
 const LEAST_SOCKETS: usize = 96;
+/// Memory in MB: the default, and the least with which the program can work.
+const MEMORY_MB: usize = 192;
+const LEAST_MEMORY_MB: usize = 16;
+/// One part in so many of the memory is for what clients have sent.
+const CLIENT_BYTES_SHARE: usize = 4;
 /// After SIGTERM clients still come for up to 0.4 s; served for a little longer than that.
 const LINGER_MS: u64 = 500;
 /// The longest such while that makes sense: a stop is to end some day.
@@ -38,6 +43,8 @@
     pub dialect: Dialect,
     /// Client connections that may be open at once.
     pub most_clients: usize,
+    /// Bytes that all clients together may have sent and not been answered.
+    pub most_client_bytes: usize,
     /// Connections to database hosts that may be open at once.
     pub most_host_connections: usize,
     /// For how long clients are still taken in after SIGTERM.
@@ -62,6 +69,7 @@
 #[derive(Clone, Deserialize, PartialEq)]
 struct LimitsConf {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 impl Config {
@@ -124,6 +132,10 @@
         if sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets: {sockets} is under {LEAST_SOCKETS}"));
         }
+        let memory_mb = file.limits.as_ref().and_then(|l| l.memory_mb).unwrap_or(MEMORY_MB);
+        if memory_mb < LEAST_MEMORY_MB {
+            return Err(format!("limits.memory_mb: {memory_mb} is under {LEAST_MEMORY_MB}"));
+        }
         let linger_ms = file.linger_ms.unwrap_or(LINGER_MS);
         if linger_ms > MOST_LINGER_MS {
             return Err(format!("linger_ms: {linger_ms} is over {MOST_LINGER_MS}"));
@@ -139,6 +151,7 @@
             settings,
             dialect,
             most_clients,
+            most_client_bytes: memory_mb * (1 << 20) / CLIENT_BYTES_SHARE,
             most_host_connections,
             linger: Duration::from_millis(linger_ms),
             way_back: WAY_BACK,
--- a/src/main.rs
+++ b/src/main.rs
@@ -49,7 +49,8 @@
     let (core, todo) = Core::new(config.settings.clone(), config.dialect.clone(), config.seed);
     let core = Rc::new(core);
     let hosts = Rc::new(Hosts::new(core.clone(), config.most_host_connections, drain_grace));
-    let clients = Clients::new(core.clone(), hosts.clone(), config.most_clients, config.way_back);
+    let (most, bytes) = (config.most_clients, config.most_client_bytes);
+    let clients = Clients::new(core.clone(), hosts.clone(), most, bytes, config.way_back);
     let clients = Rc::new(clients);
 
     if let Some(known) = &config.known {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,51 +2,95 @@
 //! and the life of each request, which reads from top to bottom in `Session::serve`. Every request
 //! taken gets exactly one answer here. It must never choose a host or judge an outcome: at each
 //! point of choice it asks the core.
+//!
+//! Places are scarce, and only a request has a right to one. Who says nothing, or half of something,
+//! is closed after `PROMPT`; who rests between requests after `IDLE`, or after `SPARED` when a
+//! newcomer finds no place.
 
-use super::by;
 use super::core::{Call, Clock, Core, Ending, Order, fnv1a};
 use super::hosts::{Attempted, Hosts};
-use crate::pg::{self, ErrorFields, Frontend, Row, Startup, Statement, code};
+use super::{by, read, read_with};
+use crate::pg::{self, ErrorFields, Frontend, Inbox, Row, Startup, Statement, code};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncWriteExt, future};
 use sillfold::{Micros, Outcome};
-use std::cell::Cell;
-use std::io;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::hash::{BuildHasher, RandomState};
+use std::io::{self, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A client must have opened its session by then.
-const STARTUP: Duration = Duration::from_secs(10);
+/// From its connection a client has this long to say something whole, and from the first byte of a
+/// message for the rest of it: an error or a close is owed within 3 s.
+const PROMPT: Duration = Duration::from_millis(2_500);
+/// A connection that rests for this long between requests is closed.
+const IDLE: Duration = Duration::from_secs(10);
+/// How long it may rest at least, when its place is wanted.
+const SPARED: Duration = Duration::from_secs(2);
+/// A connection that has said nothing for this long gives its place to a newcomer.
+const SILENT: Duration = Duration::from_millis(50);
+/// For how long a newcomer may have to wait for a place that is being given up.
+const GIVE_UP: Duration = Duration::from_millis(100);
 /// A client that takes nothing of an answer for this long is given up.
-const STUCK: Duration = Duration::from_secs(5);
-/// After a last message the client gets this long to read it before its connection is closed.
+const STUCK: Duration = Duration::from_millis(2_500);
+/// After a last message the connection is closed once the client has sent nothing for this long, or
+/// after the longest farewell: one that is still sending 60 MB has to hear the error.
 const FAREWELL: Duration = Duration::from_millis(200);
+const LONGEST_FAREWELL: Duration = Duration::from_secs(3);
 /// Connections past the limit that may hear a refusal at the same time.
-const REFUSALS: usize = 8;
+const REFUSALS: usize = 16;
 /// The wait after a failed accept, so that a full table of descriptors does not make the loop spin.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
 /// The longest wait that is believed of a client.
 const MOST_PATIENCE_MS: u64 = 60_000;
+/// An id counts as taken for this long after its request was answered.
+const ID_KEPT: Duration = Duration::from_secs(2);
+/// What a connection may have sent without a share in the common allowance.
+const OWN_BYTES: usize = 8 * 1024;
 
 /// All clients, and what their tasks share.
 pub struct Clients {
     core: Rc<Core>,
     hosts: Rc<Hosts>,
     most: usize,
+    /// What all clients together may have sent and not been answered, in bytes.
+    most_bytes: usize,
     way_back: Micros,
     open: Rc<Cell<usize>>,
     /// Connections past the limit that are hearing so. Guards against their farewells taking the
     /// places of clients that could be served.
     refusing: Rc<Cell<usize>>,
+    bytes: Rc<Cell<usize>>,
+    waiting: RefCell<Waiting>,
+    ids: RefCell<Ids>,
     /// Closed once no idle connection is to be kept.
     closing: (Sender<()>, Receiver<()>),
     /// Told whenever a connection has ended.
     ended: (Sender<()>, Receiver<()>),
 }
 
+/// Connections without an open request, since when, and how each is told to go: those that have
+/// not said anything whole yet, and those that rest between requests.
+#[derive(Default)]
+struct Waiting {
+    silent: BTreeMap<(Instant, u64), Sender<()>>,
+    idle: BTreeMap<(Instant, u64), Sender<()>>,
+    last: u64,
+}
+
+/// Ids of requests that are open or were just now. Guards against a client that sends another's id:
+/// database hosts would take it for a second copy of the other's request.
+#[derive(Default)]
+struct Ids {
+    hasher: RandomState,
+    taken: HashSet<u64>,
+    ended: VecDeque<(Instant, u64)>,
+}
+
 /// A client's descriptor in the budget; dropping it gives it back.
 struct Slot {
     count: Rc<Cell<usize>>,
@@ -60,11 +104,78 @@
     }
 }
 
+/// A session's part of the common allowance of bytes; dropping it gives it back.
+struct Share {
+    all: Rc<Cell<usize>>,
+    mine: usize,
+}
+
+impl Share {
+    fn set(&mut self, bytes: usize) {
+        self.all.set(self.all.get() - self.mine + bytes);
+        self.mine = bytes;
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
+/// A place among those waiting; dropping it gives it up.
+struct Seat<'a> {
+    all: &'a Clients,
+    spoken: bool,
+    key: (Instant, u64),
+}
+
+impl Drop for Seat<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.all.waiting.borrow_mut();
+        waiting.of(self.spoken).remove(&self.key);
+    }
+}
+
+impl Waiting {
+    fn of(&mut self, spoken: bool) -> &mut BTreeMap<(Instant, u64), Sender<()>> {
+        if spoken { &mut self.idle } else { &mut self.silent }
+    }
+}
+
+/// An id in use; dropping it keeps the id for a moment more.
+struct Claim<'a> {
+    all: &'a Clients,
+    id: u64,
+}
+
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        self.all.ids.borrow_mut().ended.push_back((Instant::now(), self.id));
+    }
+}
+
 impl Clients {
-    pub fn new(core: Rc<Core>, hosts: Rc<Hosts>, most: usize, way_back: Micros) -> Clients {
-        let (open, refusing) = (Rc::default(), Rc::default());
+    pub fn new(
+        core: Rc<Core>, hosts: Rc<Hosts>, most: usize, most_bytes: usize, way_back: Micros,
+    ) -> Clients {
+        let (open, refusing, bytes) = (Rc::default(), Rc::default(), Rc::default());
+        let (waiting, ids) = (RefCell::default(), RefCell::default());
         let (closing, ended) = (async_channel::bounded(1), async_channel::bounded(1));
-        Clients { core, hosts, most, way_back, open, refusing, closing, ended }
+        Clients {
+            core,
+            hosts,
+            most,
+            most_bytes,
+            way_back,
+            open,
+            refusing,
+            bytes,
+            waiting,
+            ids,
+            closing,
+            ended,
+        }
     }
 
     /// Accepts for as long as the future is kept.
@@ -73,7 +184,12 @@
     ) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.begin(stream, executor),
+                Ok((stream, _)) => {
+                    self.make_room().await;
+                    self.begin(stream, executor);
+                    // It takes its seat before the next one may have to ask for a place.
+                    future::yield_now().await;
+                }
                 Err(e) => {
                     eprintln!("clients: accepting: {e}");
                     Timer::after(ACCEPT_WAIT).await;
@@ -92,9 +208,44 @@
         }
     }
 
+    /// Where all places are taken, asks for that of whoever has been silent or idle for longest.
+    /// Guards against connections that only stand there keeping out clients that want something.
+    async fn make_room(&self) {
+        if self.open.get() < self.most {
+            return;
+        }
+        let since = |spoken| self.waiting.borrow_mut().of(spoken).keys().next().map(|k| k.0);
+        let idle = since(true).filter(|since| since.elapsed() >= SPARED);
+        let idle = match since(false) {
+            Some(silent) if silent.elapsed() >= SILENT || idle.is_none() => {
+                // Waited for: a whole crowd of silent ones is through in a moment.
+                Timer::at(silent + SILENT).await;
+                false
+            }
+            _ if idle.is_some() => true,
+            _ => return,
+        };
+        let asked = self.waiting.borrow_mut().of(idle).pop_first();
+        if asked.is_some_and(|(_, go)| go.try_send(()).is_ok()) {
+            let left = async {
+                while self.open.get() >= self.most {
+                    let _ = self.ended.1.recv().await;
+                }
+            };
+            by(Instant::now() + GIVE_UP, left).await;
+        }
+    }
+
     fn begin(self: &Rc<Clients>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
+        let _ = stream.get_ref().set_nodelay(true);
         let refused = self.open.get() >= self.most;
         let (count, most) = if refused { (&self.refusing, REFUSALS) } else { (&self.open, self.most) };
+        if refused {
+            // At once, whatever the client says: it fits into any new connection's buffer.
+            let mut out = Vec::new();
+            put_fatal(&mut out, code::TOO_MANY_CONNECTIONS, "all connections are in use");
+            let _ = stream.get_ref().write(&out);
+        }
         if count.get() >= most {
             return;
         }
@@ -102,18 +253,37 @@
         let slot = Slot { count: count.clone(), ended: self.ended.0.clone() };
         let all = self.clone();
         let task = async move {
-            let _ = stream.get_ref().set_nodelay(true);
             // Given back only after the connection is closed.
             let _slot = slot;
-            let mut session = Session { all: &all, stream, buf: Vec::new(), out: Vec::new() };
+            let mut session = Session::new(&all, stream);
             // An error here is the client's connection failing: there is nobody left to tell.
-            if let Ok(true) = session.run(refused).await {
+            if refused || matches!(session.run().await, Ok(true)) {
                 session.farewell().await;
             }
         };
         executor.spawn(task).detach();
     }
 
+    /// Takes an id for a request; nothing if it is another's.
+    fn claim(&self, id: &str) -> Option<Claim<'_>> {
+        let mut ids = self.ids.borrow_mut();
+        while let Some(&(_, old)) = ids.ended.front().filter(|e| e.0.elapsed() > ID_KEPT) {
+            ids.ended.pop_front();
+            ids.taken.remove(&old);
+        }
+        let id = ids.hasher.hash_one(id);
+        ids.taken.insert(id).then(|| Claim { all: self, id })
+    }
+
+    /// A place among those that wait, from now on.
+    fn seat(&self, spoken: bool, go: Sender<()>) -> Seat<'_> {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.last += 1;
+        let key = (Instant::now(), waiting.last);
+        waiting.of(spoken).insert(key, go);
+        Seat { all: self, spoken, key }
+    }
+
     /// Closes idle connections, and the others once they have been answered; returns when all are.
     pub async fn close(&self) {
         self.closing.0.close();
@@ -123,6 +293,12 @@
     }
 }
 
+/// A last error.
+fn put_fatal(out: &mut Vec<u8>, code: &str, message: &str) {
+    let fields = ErrorFields { code: code.into(), message: message.into(), fatal: true, retry_in_ms: None };
+    pg::put_error(out, &fields);
+}
+
 /// The one final answer to a request.
 enum Verdict {
     Served(Row),
@@ -130,39 +306,64 @@
     Failed,
 }
 
+/// Why a wait for more bytes ended.
+enum Came {
+    Bytes,
+    /// The connection ended, or its time or its place was up.
+    End,
+    /// What was begun did not go on in time, or there is no room for more of it.
+    TooSlow,
+    TooMuch,
+}
+
 /// One client's connection.
 struct Session<'a> {
     all: &'a Rc<Clients>,
     stream: Async<TcpStream>,
-    buf: Vec<u8>,
+    begun: Instant,
+    inbox: Inbox,
+    share: Share,
     out: Vec<u8>,
+    /// A whole message of the session has come.
+    spoken: bool,
+    /// Since when a part of a message waits for the rest.
+    partial: Option<Instant>,
+    /// Told when the place is wanted for another.
+    go: (Sender<()>, Receiver<()>),
 }
 
-impl Session<'_> {
+impl<'a> Session<'a> {
+    fn new(all: &'a Rc<Clients>, stream: Async<TcpStream>) -> Session<'a> {
+        Session {
+            all,
+            stream,
+            begun: Instant::now(),
+            inbox: Inbox::default(),
+            share: Share { all: all.bytes.clone(), mine: 0 },
+            out: Vec::new(),
+            spoken: false,
+            partial: None,
+            go: async_channel::bounded(1),
+        }
+    }
+
     /// From the startup packet to the end; true if a last message has to be read before the close.
-    async fn run(&mut self, refused: bool) -> io::Result<bool> {
-        let begun = by(Instant::now() + STARTUP, self.startup(refused)).await;
-        match begun {
-            Some(Ok(true)) => {}
-            Some(Ok(false)) => return Ok(true),
-            Some(Err(e)) => return Err(e),
-            None => return Ok(false),
+    async fn run(&mut self) -> io::Result<bool> {
+        if let Some(done) = self.startup().await? {
+            return Ok(done);
         }
         let mut skipping = false;
         loop {
-            let message = match pg::decode_frontend(&mut self.buf) {
+            let message = match pg::decode_frontend(&mut self.inbox) {
                 Ok(Some(message)) => message,
-                Ok(None) => {
-                    if !self.flush_and_read().await? {
-                        return Ok(false);
-                    }
-                    continue;
-                }
-                Err(e) => {
-                    self.fatal(code::PROTOCOL_VIOLATION, &e.0).await?;
-                    return Ok(true);
-                }
+                Ok(None) => match self.flush_and_read().await? {
+                    Came::Bytes => continue,
+                    other => return self.over(other).await,
+                },
+                Err(e) => return self.fatal(code::PROTOCOL_VIOLATION, &e.0).await,
             };
+            (self.spoken, self.partial) = (true, None);
+            self.affordable();
             match message {
                 Frontend::Terminate => return Ok(false),
                 Frontend::Sync => {
@@ -176,7 +377,12 @@
                     skipping = true;
                     self.error(code::FEATURE_NOT_SUPPORTED, "only simple queries are served here");
                 }
+                Frontend::Unreadable(e) => {
+                    self.error(code::UNTRANSLATABLE, &e.0);
+                    pg::put_ready(&mut self.out);
+                }
                 Frontend::Query(text) if text.trim().trim_end_matches(';').is_empty() => {
+                    self.flush().await?;
                     self.all.core.ready().await;
                     pg::put_empty_query(&mut self.out);
                     pg::put_ready(&mut self.out);
@@ -184,15 +390,23 @@
                 Frontend::Query(text) => {
                     let came = self.all.core.clock.now();
                     match self.read_request(text, came) {
-                        Ok((call, statement)) => match self.serve(&call, &statement).await {
-                            Some(verdict) => self.put_verdict(verdict),
-                            None => return Ok(false),
-                        },
+                        Ok((call, statement, _claim)) => {
+                            // The answers to commands before this one do not wait for its own.
+                            self.flush().await?;
+                            match self.serve(&call, &statement).await {
+                                Some(verdict) => self.put_verdict(verdict),
+                                None => return Ok(false),
+                            }
+                        }
                         Err(e) => pg::put_error(&mut self.out, &e),
                     }
                     pg::put_ready(&mut self.out);
                 }
             }
+            if !self.inbox.is_empty() {
+                // Where hundreds of commands come at once, others have their turn between two.
+                future::yield_now().await;
+            }
         }
     }
 
@@ -259,7 +473,7 @@
     }
 
     /// Reads a request; the error is what the client is told instead.
-    fn read_request(&self, text: String, came: Micros) -> Result<(Call, Statement), ErrorFields> {
+    fn read_request(&self, text: String, came: Micros) -> Result<(Call, Statement, Claim<'a>), ErrorFields> {
         let error =
             |code: &str, message: String| ErrorFields { code: code.into(), message, ..Default::default() };
         let core = &self.all.core;
@@ -275,6 +489,10 @@
             let what = format!("no group {} in the list of database hosts", statement.group);
             return Err(error(code::UNDEFINED_OBJECT, what));
         }
+        let claim = self.all.claim(&statement.id).ok_or_else(|| {
+            let what = format!("id {:?} is that of another request", statement.id);
+            error(code::DUPLICATE_OBJECT, what)
+        })?;
         let patience = statement.patience_ms.min(MOST_PATIENCE_MS) * 1_000;
         let call = Call {
             class,
@@ -284,7 +502,7 @@
             give_up_at: came + patience.saturating_sub(self.all.way_back).max(patience / 2),
             after: statement.after_ms.map(Clock::from_unix_ms),
         };
-        Ok((call, statement))
+        Ok((call, statement, claim))
     }
 
     fn put_verdict(&mut self, verdict: Verdict) {
@@ -303,32 +521,24 @@
         }
     }
 
-    /// Opens the session; false if it was turned away.
-    async fn startup(&mut self, refused: bool) -> io::Result<bool> {
+    /// Opens the session; if it ends instead, as `run` does.
+    async fn startup(&mut self) -> io::Result<Option<bool>> {
         loop {
-            match pg::decode_startup(&mut self.buf) {
-                Ok(None) => {
-                    if !self.flush_and_read().await? {
-                        return Err(io::ErrorKind::ConnectionAborted.into());
-                    }
-                }
+            match pg::decode_startup(&mut self.inbox) {
+                Ok(None) => match self.flush_and_read().await? {
+                    Came::Bytes => {}
+                    other => return self.over(other).await.map(Some),
+                },
                 Ok(Some(Startup::Encryption)) => self.out.push(b'N'),
-                Ok(Some(Startup::Cancel)) => return Err(io::ErrorKind::ConnectionAborted.into()),
-                Ok(Some(Startup::Session { .. })) if refused => {
-                    self.fatal(code::TOO_MANY_CONNECTIONS, "all connections are in use").await?;
-                    return Ok(false);
-                }
+                Ok(Some(Startup::Cancel)) => return Ok(Some(false)),
                 Ok(Some(Startup::Session { minor, options })) => {
                     if minor > 0 || !options.is_empty() {
                         pg::put_negotiate(&mut self.out, &options);
                     }
                     pg::put_welcome(&mut self.out);
-                    return Ok(true);
-                }
-                Err(e) => {
-                    self.fatal(code::PROTOCOL_VIOLATION, &e.0).await?;
-                    return Ok(false);
+                    return Ok(None);
                 }
+                Err(e) => return self.fatal(code::PROTOCOL_VIOLATION, &e.0).await.map(Some),
             }
         }
     }
@@ -338,67 +548,104 @@
         pg::put_error(&mut self.out, &fields);
     }
 
-    /// A last error.
-    async fn fatal(&mut self, code: &str, message: &str) -> io::Result<()> {
-        let fields =
-            ErrorFields { code: code.into(), message: message.into(), fatal: true, retry_in_ms: None };
-        pg::put_error(&mut self.out, &fields);
-        self.flush().await
+    /// A last error; true, as `run` ends.
+    async fn fatal(&mut self, code: &str, message: &str) -> io::Result<bool> {
+        put_fatal(&mut self.out, code, message);
+        self.flush().await.map(|()| true)
+    }
+
+    /// The end of the session, as `run` ends.
+    async fn over(&mut self, why: Came) -> io::Result<bool> {
+        match why {
+            Came::TooSlow => self.fatal(code::PROTOCOL_VIOLATION, "what was begun did not end in time").await,
+            Came::TooMuch => self.fatal(code::OUT_OF_MEMORY, "too much is being sent here at once").await,
+            Came::Bytes | Came::End => Ok(false),
+        }
     }
 
     async fn flush(&mut self) -> io::Result<()> {
+        if self.out.is_empty() {
+            return Ok(());
+        }
         let written = by(Instant::now() + STUCK, self.stream.write_all(&self.out)).await;
         self.out.clear();
+        self.out.shrink_to(OWN_BYTES);
         written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
     }
 
-    /// Writes what is due, then waits for more; false at the end of the connection, or when the
-    /// program is closing and the client has begun nothing.
-    async fn flush_and_read(&mut self) -> io::Result<bool> {
+    /// Writes what is due, then waits for more, for as long as the client may take.
+    async fn flush_and_read(&mut self) -> io::Result<Came> {
         self.flush().await?;
-        let mut part = [0; 4096];
-        let idle = self.buf.is_empty();
+        let now = Instant::now();
+        let resting = self.inbox.is_empty();
+        if !resting {
+            self.partial.get_or_insert(now);
+        }
+        let until = match self.partial {
+            _ if !self.spoken => self.begun + PROMPT,
+            Some(since) => since + PROMPT,
+            None => now + IDLE,
+        };
+        let (all, go, spoken) = (self.all, self.go.1.clone(), self.spoken);
+        // Asked to go in an earlier wait, which ended by itself.
+        let _ = go.try_recv();
+        let _seat = (resting || !spoken).then(|| all.seat(spoken, self.go.0.clone()));
         // Reading comes first: a request that is here already is still served.
-        let read = future::or(async { Some(self.stream.read(&mut part).await) }, async {
-            if !idle {
+        let read = async { Some(read(&self.stream, &mut self.inbox).await) };
+        let closing = async {
+            if !resting {
                 future::pending::<()>().await;
             }
-            let _ = self.all.closing.1.recv().await;
+            let _ = all.closing.1.recv().await;
             None
-        });
-        match read.await {
-            Some(Ok(n)) if n > 0 => {
-                self.buf.extend(&part[..n]);
-                Ok(true)
-            }
-            Some(Ok(_)) | None => Ok(false),
-            Some(Err(e)) => Err(e),
+        };
+        let asked_to_go = async {
+            let _ = go.recv().await;
+            None
+        };
+        let read = by(until, future::or(read, future::or(closing, asked_to_go))).await;
+        match read {
+            Some(Some(Ok(n))) if n > 0 => Ok(if self.affordable() { Came::Bytes } else { Came::TooMuch }),
+            Some(Some(Err(e))) => Err(e),
+            None if !resting => Ok(Came::TooSlow),
+            _ => Ok(Came::End),
         }
     }
 
+    /// Whether what this client has sent, beside what all others have, fits into the memory.
+    fn affordable(&mut self) -> bool {
+        self.share.set(self.inbox.held().saturating_sub(OWN_BYTES));
+        self.share.mine == 0 || self.all.bytes.get() <= self.all.most_bytes
+    }
+
     /// Returns nothing once the client has closed its connection. What it sends meanwhile is kept,
     /// up to the longest message.
     async fn gone<T>(&mut self) -> Option<T> {
-        let mut part = [0; 1024];
-        while self.buf.len() <= pg::MOST_BYTES {
-            match self.stream.read(&mut part).await {
-                Ok(n) if n > 0 => self.buf.extend(&part[..n]),
+        while self.inbox.len() <= pg::MOST_BYTES && self.affordable() {
+            match read(&self.stream, &mut self.inbox).await {
+                Ok(n) if n > 0 => {}
                 _ => return None,
             }
         }
         future::pending().await
     }
 
-    /// Ends the sending and waits a little for the client's end: closing over unread input would
-    /// reset the connection, and the last message with it.
+    /// Ends the sending and reads on, into nothing, until the client is done: closing over unread
+    /// input would reset the connection, and the last message with it.
     async fn farewell(&mut self) {
-        if self.stream.get_ref().shutdown(Shutdown::Write).is_ok() {
-            self.buf.clear();
-            let drained = async {
-                let mut part = [0; 1024];
-                while matches!(self.stream.read(&mut part).await, Ok(n) if n > 0) {}
-            };
-            by(Instant::now() + FAREWELL, drained).await;
+        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
         }
+        self.inbox.clear();
+        self.share.set(0);
+        let drained = async {
+            while let Some(Ok(n)) = by(Instant::now() + FAREWELL, read_with(&self.stream, |_| ())).await
+                && n > 0
+            {
+                // Others have their turn while 60 MB come.
+                future::yield_now().await;
+            }
+        };
+        by(Instant::now() + LONGEST_FAREWELL, drained).await;
     }
 }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -3,14 +3,14 @@
 //! never choose a host, never send anything a second time by itself, and never put a connection
 //! back before the host has said that it is ready for the next query.
 
-use super::by;
 use super::core::{Chore, Clock, Core};
 use super::discovery::{Listing, Status};
-use crate::pg::{self, Backend, Row, Statement, code};
+use super::{by, read};
+use crate::pg::{self, Backend, Inbox, Row, Statement, code};
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::AsyncWriteExt;
 use sillfold::{Micros, Outcome, Report, Role, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -41,7 +41,8 @@
 /// A connection to a database host.
 struct Connection {
     stream: Async<TcpStream>,
-    buf: Vec<u8>,
+    address: SocketAddr,
+    inbox: Inbox,
     idle_since: Instant,
     _slot: Slot,
 }
@@ -242,7 +243,7 @@
         let Some(host) = hosts.get_mut(&server).filter(|h| h.off_since.is_none()) else { return };
         connection.idle_since = Instant::now();
         // Guards against keeping a connection to where the host no longer is.
-        if connection.stream.get_ref().peer_addr().ok() == Some(host.address) {
+        if connection.address == host.address {
             host.idle.push(connection);
         }
     }
@@ -281,7 +282,8 @@
     async fn dial(address: SocketAddr, slot: Slot) -> Result<Connection, Outcome> {
         let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Outcome::ConnectFailed)?;
         stream.get_ref().set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
-        let mut connection = Connection { stream, buf: Vec::new(), idle_since: Instant::now(), _slot: slot };
+        let (inbox, idle_since) = (Inbox::default(), Instant::now());
+        let mut connection = Connection { stream, address, inbox, idle_since, _slot: slot };
         let mut startup = Vec::new();
         pg::put_startup(&mut startup, USER, DATABASE);
         connection.stream.write_all(&startup).await.map_err(|_| Outcome::ConnectFailed)?;
@@ -307,16 +309,15 @@
     fn usable(&self, fresh: Duration) -> bool {
         let quiet =
             matches!(self.stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
-        quiet && self.buf.is_empty() && self.idle_since.elapsed() < fresh
+        quiet && self.inbox.is_empty() && self.idle_since.elapsed() < fresh
     }
 
     async fn message(&mut self) -> Result<Backend, Broken> {
-        let mut part = [0; 4096];
         loop {
-            match pg::decode_backend(&mut self.buf) {
+            match pg::decode_backend(&mut self.inbox) {
                 Ok(Some(message)) => return Ok(message),
-                Ok(None) => match self.stream.read(&mut part).await {
-                    Ok(n) if n > 0 => self.buf.extend(&part[..n]),
+                Ok(None) => match read(&self.stream, &mut self.inbox).await {
+                    Ok(n) if n > 0 => {}
                     _ => return Err(Broken::Ended),
                 },
                 Err(e) => return Err(Broken::Nonsense(e.0)),
@@ -359,7 +360,7 @@
                 _ => Outcome::Error,
             },
             (None, _, Some(Broken::Nonsense(what))) => {
-                eprintln!("hosts: {:?}: {what}", self.stream.get_ref().peer_addr());
+                eprintln!("hosts: {}: {what}", self.address);
                 Outcome::Error
             }
             (None, Some(_), _) => Outcome::Ok,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,17 +1,47 @@
 //! Everything that touches sockets, in four parts. `core` owns the decision module and time,
 //! `client` a request's life, `hosts` the connections to database hosts, `discovery` the list.
-//! This file holds only what they share; it must never decide nor keep state.
+//! This file holds only what they share; it must never decide nor keep state beyond a moment.
 
 pub mod client;
 pub mod core;
 pub mod discovery;
 pub mod hosts;
 
-use async_io::Timer;
+use crate::pg::Inbox;
+use async_io::{Async, Timer};
 use futures_lite::future;
+use std::cell::RefCell;
 use std::future::Future;
+use std::io::{self, Read};
+use std::net::TcpStream;
 use std::time::Instant;
 
+/// Bytes that one read may bring.
+const READ_BYTES: usize = 32 * 1024;
+
+thread_local! {
+    /// Where every read lands first. One for all connections, which hold only what has come.
+    static LANDING: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
+}
+
+/// Waits for bytes, hands them to `take` and returns their number; 0 at the end of the connection.
+async fn read_with(stream: &Async<TcpStream>, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+    stream
+        .read_with(|mut s| {
+            LANDING.with_borrow_mut(|landing| {
+                let n = s.read(landing)?;
+                take(&landing[..n]);
+                Ok(n)
+            })
+        })
+        .await
+}
+
+/// Waits for bytes and puts them into the inbox; 0 at the end of the connection.
+async fn read(stream: &Async<TcpStream>, inbox: &mut Inbox) -> io::Result<usize> {
+    read_with(stream, |bytes| inbox.put(bytes)).await
+}
+
 /// The future's result, or nothing once the time has come; the future is then dropped.
 pub async fn by<T>(when: Instant, work: impl Future<Output = T>) -> Option<T> {
     future::or(async { Some(work.await) }, async {
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -1,10 +1,11 @@
 //! PostgreSQL's wire protocol, version 3: messages as small typed values, each decoded once and
-//! encoded once. It owns the layout of messages and the limits on their length. It must never do
-//! I/O, and never decide what an answer means for a request.
+//! encoded once. It owns the layout of messages, the limits on their length and the bytes that are
+//! not decoded yet. It must never do I/O, and never decide what an answer means for a request.
 
-/// The longest message accepted: a value of 64 KiB as hexadecimal text, with room around it. Every
-/// connection of the budget may hold one, and all of them fit into the memory limit.
+/// The longest message accepted: a value of 64 KiB as hexadecimal text, with room around it.
 pub const MOST_BYTES: usize = 160 * 1024;
+/// An inbox that has been emptied keeps this much of its memory.
+const KEPT_BYTES: usize = 4 * 1024;
 /// The longest startup packet accepted, as in PostgreSQL itself.
 const MOST_STARTUP: usize = 10_000;
 
@@ -14,6 +15,9 @@
     pub const FEATURE_NOT_SUPPORTED: &str = "0A000";
     pub const READ_ONLY: &str = "25006";
     pub const SNAPSHOT_TOO_OLD: &str = "72000";
+    pub const UNTRANSLATABLE: &str = "22021";
+    pub const DUPLICATE_OBJECT: &str = "42710";
+    pub const OUT_OF_MEMORY: &str = "53200";
     pub const COMPLETION_UNKNOWN: &str = "40003";
     pub const SYNTAX_ERROR: &str = "42601";
     pub const UNDEFINED_OBJECT: &str = "42704";
@@ -31,6 +35,49 @@
     Err(Malformed(what.into()))
 }
 
+/// Bytes of a connection that have come and are not decoded yet.
+#[derive(Default)]
+pub struct Inbox {
+    bytes: Vec<u8>,
+    /// How much of them is decoded already. Guards against moving the rest once for every message,
+    /// where hundreds come at once.
+    taken: usize,
+}
+
+impl Inbox {
+    pub fn put(&mut self, bytes: &[u8]) {
+        self.bytes.drain(..self.taken);
+        self.taken = 0;
+        self.bytes.extend_from_slice(bytes);
+    }
+    pub fn len(&self) -> usize {
+        self.bytes.len() - self.taken
+    }
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+    /// The memory that it holds.
+    pub fn held(&self) -> usize {
+        self.bytes.capacity()
+    }
+    pub fn clear(&mut self) {
+        self.take(self.len());
+    }
+    fn rest(&self) -> &[u8] {
+        &self.bytes[self.taken..]
+    }
+    /// Marks bytes as decoded. Once all are, a large buffer is given back: guards against every
+    /// connection keeping the memory of the longest message that it ever saw.
+    fn take(&mut self, n: usize) {
+        self.taken += n;
+        if self.is_empty() {
+            self.taken = 0;
+            self.bytes.clear();
+            self.bytes.shrink_to(KEPT_BYTES);
+        }
+    }
+}
+
 /// What a client may say before its session begins.
 #[derive(Debug, PartialEq)]
 pub enum Startup {
@@ -46,6 +93,8 @@
 #[derive(Debug, PartialEq)]
 pub enum Frontend {
     Query(String),
+    /// A whole message whose contents make no sense; the stream goes on behind it.
+    Unreadable(Malformed),
     Terminate,
     Sync,
     Flush,
@@ -136,9 +185,9 @@
     }
 }
 
-/// Takes one startup packet off the front of the buffer, once it is whole.
-pub fn decode_startup(buf: &mut Vec<u8>) -> Decoded<Startup> {
-    let Some(head) = buf.first_chunk::<8>() else { return Ok(None) };
+/// Takes one startup packet off the front, once it is whole.
+pub fn decode_startup(inbox: &mut Inbox) -> Decoded<Startup> {
+    let Some(head) = inbox.rest().first_chunk::<8>() else { return Ok(None) };
     let (len, version) = head.split_at(4);
     let len = Body(len).i32()?;
     let code = Body(version).i32()?;
@@ -146,15 +195,16 @@
     if !(8..=MOST_STARTUP).contains(&len) {
         return bad(format!("a startup packet of {len} bytes"));
     }
-    if buf.len() < len {
-        return Ok(None);
+    // Told before the rest is waited for: this may be another protocol.
+    if code >> 16 != 3 && !(80_877_102..=80_877_104).contains(&code) {
+        return bad(format!("protocol version {}.{}, this is 3.0", code >> 16, code & 0xffff));
     }
-    let packet: Vec<u8> = buf.drain(..len).collect();
-    let mut body = Body(&packet[8..]);
-    match code {
-        80_877_102 => Ok(Some(Startup::Cancel)),
-        80_877_103 | 80_877_104 => Ok(Some(Startup::Encryption)),
-        _ if code >> 16 == 3 => {
+    let Some(packet) = inbox.rest().get(8..len) else { return Ok(None) };
+    let mut body = Body(packet);
+    let startup = match code {
+        80_877_102 => Startup::Cancel,
+        80_877_103 | 80_877_104 => Startup::Encryption,
+        _ => {
             let mut options = Vec::new();
             loop {
                 let name = body.text()?;
@@ -164,60 +214,56 @@
                 body.text()?;
                 options.extend(Some(name).filter(|n| n.starts_with("_pq_.")));
             }
-            Ok(Some(Startup::Session { minor: (code & 0xffff) as u16, options }))
+            Startup::Session { minor: (code & 0xffff) as u16, options }
         }
-        _ => bad(format!("protocol version {}.{}, this is 3.0", code >> 16, code & 0xffff)),
-    }
+    };
+    inbox.take(len);
+    Ok(Some(startup))
 }
 
-/// Takes one whole message off the front of the buffer: its type and its body.
-fn take_message(buf: &mut Vec<u8>) -> Decoded<(u8, Vec<u8>)> {
-    let Some(head) = buf.first_chunk::<5>() else { return Ok(None) };
+/// Finds the message at the front, once it is whole: its type and its body.
+fn whole_message(inbox: &Inbox) -> Decoded<(u8, &[u8])> {
+    let Some(head) = inbox.rest().first_chunk::<5>() else { return Ok(None) };
     let len = Body(&head[1..]).i32()?;
     match usize::try_from(len) {
         Ok(len) if (4..=MOST_BYTES).contains(&len) => {
-            if buf.len() < len + 1 {
-                return Ok(None);
-            }
-            let kind = head[0];
-            let body = buf[5..=len].to_vec();
-            buf.drain(..=len);
-            Ok(Some((kind, body)))
+            Ok(inbox.rest().get(5..=len).map(|body| (head[0], body)))
         }
         _ => bad(format!("a message of {len} bytes; the most is {MOST_BYTES}")),
     }
 }
 
 /// Takes one message of a client's session.
-pub fn decode_frontend(buf: &mut Vec<u8>) -> Decoded<Frontend> {
+pub fn decode_frontend(inbox: &mut Inbox) -> Decoded<Frontend> {
     // An unknown type is told before its length is believed: this may be another protocol.
-    if let Some(kind) = buf.first().filter(|k| !b"QXSHPBEDCdcfFp".contains(k)) {
+    if let Some(kind) = inbox.rest().first().filter(|k| !b"QXSHPBEDCdcfFp".contains(k)) {
         return bad(format!("a message of the unknown type {kind:#04x}"));
     }
-    let Some((kind, bytes)) = take_message(buf)? else { return Ok(None) };
-    let mut body = Body(&bytes);
+    let Some((kind, bytes)) = whole_message(inbox)? else { return Ok(None) };
+    let mut body = Body(bytes);
     let message = match kind {
-        b'Q' => {
-            let text = body.text()?;
-            body.end()?;
-            Frontend::Query(text)
-        }
+        b'Q' => match body.text().and_then(|text| body.end().map(|()| text)) {
+            Ok(text) => Frontend::Query(text),
+            Err(e) => Frontend::Unreadable(e),
+        },
         b'X' => Frontend::Terminate,
         b'S' => Frontend::Sync,
         b'H' => Frontend::Flush,
         b'P' | b'B' | b'E' | b'D' | b'C' | b'F' => Frontend::Extended,
         _ => return bad(format!("a message of type {:?}, which nothing asked for", kind as char)),
     };
+    let len = 5 + bytes.len();
+    inbox.take(len);
     Ok(Some(message))
 }
 
 /// Takes one message of a database host.
-pub fn decode_backend(buf: &mut Vec<u8>) -> Decoded<Backend> {
-    if let Some(kind) = buf.first().filter(|k| !b"RSKTDCIEZNAtnv".contains(k)) {
+pub fn decode_backend(inbox: &mut Inbox) -> Decoded<Backend> {
+    if let Some(kind) = inbox.rest().first().filter(|k| !b"RSKTDCIEZNAtnv".contains(k)) {
         return bad(format!("a message of the unknown type {kind:#04x}"));
     }
-    let Some((kind, bytes)) = take_message(buf)? else { return Ok(None) };
-    let mut body = Body(&bytes);
+    let Some((kind, bytes)) = whole_message(inbox)? else { return Ok(None) };
+    let mut body = Body(bytes);
     let message = match kind {
         b'R' => match body.i32()? {
             0 => Backend::AuthenticationOk,
@@ -243,9 +289,14 @@
             body.take(1)?;
             Backend::ReadyForQuery
         }
-        _ => return Ok(Some(Backend::Skipped)),
+        _ => {
+            body = Body(&[]);
+            Backend::Skipped
+        }
     };
     body.end()?;
+    let len = 5 + bytes.len();
+    inbox.take(len);
     Ok(Some(message))
 }
 
@@ -391,6 +442,7 @@
     text: String,
     /// Where the figure of `d` stands in the text.
     d_at: std::ops::Range<usize>,
+    pub id: String,
     pub class: String,
     pub patience_ms: u64,
     pub group: u32,
@@ -404,7 +456,7 @@
         let lead = text.len() - text.trim_start().len();
         let open = text[lead..].strip_prefix("/*").ok_or("no comment leads the statement")?;
         let end = open.find("*/").ok_or("the comment is not closed")?;
-        let (mut id, mut class, mut patience, mut group, mut after) = (false, None, None, None, None);
+        let (mut id, mut class, mut patience, mut group, mut after) = (None, None, None, None, None);
         let mut at = lead + 2;
         for part in open[..end].split(',') {
             let (name, value) = part.split_once('=').ok_or(format!("the comment holds {part:?}"))?;
@@ -413,7 +465,9 @@
             let number =
                 || value.parse::<u64>().map_err(|_| format!("{}={value:?} is no number", name.trim()));
             match name.trim() {
-                "id" => id = !value.is_empty(),
+                // Guards against a second id that only one of proxy and host would go by.
+                "id" if id.is_some() => return Err("the comment has two ids".into()),
+                "id" => id = Some(value.to_string()).filter(|id| !id.is_empty()),
                 "c" => class = Some(value.to_string()),
                 "d" => patience = Some((number()?, start..start + value.len())),
                 "cluster" => {
@@ -425,11 +479,9 @@
             }
             at += part.len() + 1;
         }
-        if !id {
-            return Err("the comment has no id".into());
-        }
         let (patience_ms, d_at) = patience.ok_or("the comment has no d")?;
         Ok(Statement {
+            id: id.ok_or("the comment has no id")?,
             class: class.ok_or("the comment has no c")?,
             group: group.ok_or("the comment has no cluster")?,
             patience_ms,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::time::Instant;
 use support::*;
 
@@ -157,21 +157,102 @@
     }
 }
 
+/// 96 descriptors: 39 for clients.
+const PLACES: usize = 39;
+
 #[test]
-fn past_the_descriptors_a_client_is_refused_and_a_place_given_back_serves_again() {
-    let host = served("v");
-    // 96 descriptors: 39 for clients.
+fn past_the_descriptors_a_client_is_refused_at_once_and_a_place_given_back_serves_again() {
+    let host = Host::start(|_, _| Reply::Silence);
     let proxy = Proxy::start(&[&host], 96);
-    let mut clients: Vec<Client> = (0..39).map(|_| proxy.client()).collect();
-    let mut refused = Client::connect(proxy.address);
-    refused.send(&startup());
-    let answer = refused.answer();
+    proxy.agent.line(&list(42, true, &[(&host, "SERVING")]));
+    let mut clients: Vec<Client> = (0..PLACES).map(|_| proxy.client()).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.send(&[query("*"), query(&read(&format!("b{i}"), "ingest", 20_000))].concat());
+        assert_eq!(client.answer().code, "42601");
+    }
+    // It need not say anything to hear so.
+    let answer = Client::connect(proxy.address).answer();
     assert_eq!((answer.code.as_str(), answer.end), ("53300", End::Closed));
     // This one is told before the next one is accepted: it ends a connection and sees it end.
-    let mut last = clients.pop().expect("39");
-    last.send(&message(b'X', b""));
-    assert_eq!(last.answer().end, End::Closed);
+    let last = clients.pop().expect("some");
+    last.stream.shutdown(std::net::Shutdown::Write).expect("open");
+    assert_eq!(Client { stream: last.stream }.answer().end, End::Closed);
+    assert!(proxy.client().ask("").empty);
+}
+
+#[test]
+fn clients_that_say_nothing_or_ask_once_and_stay_give_their_places_to_others() {
+    let host = served("v");
+    let proxy = Proxy::start(&[&host], 96);
+    let silent: Vec<Client> = (0..PLACES).map(|_| Client::connect(proxy.address)).collect();
     assert_eq!(proxy.client().ask(&read("1", "history", 9000)).value.as_deref(), Some("v"));
+    for mut client in silent {
+        assert_eq!(client.answer().end, End::Closed);
+    }
+    let ask_once = |id: usize| {
+        let mut client = Client::connect(proxy.address);
+        // One that is refused may be closed before it has written this.
+        let _ =
+            client.stream.write_all(&[startup(), query(&read(&format!("{id}"), "history", 9000))].concat());
+        (client.answer().end == End::Ready).then(|| (client.answer().value, client))
+    };
+    let (mut stay, asked) = (Vec::new(), Instant::now());
+    // Whoever is refused meanwhile tries again, since others may rest for 2 s.
+    for id in 2.. {
+        stay.extend(ask_once(id));
+        assert!(asked.elapsed() < PATIENCE, "{} served", stay.len());
+        if stay.len() > PLACES {
+            break;
+        }
+    }
+    assert!(stay.iter().all(|(value, _)| value.as_deref() == Some("v")));
+}
+
+#[test]
+fn what_is_begun_and_not_ended_gets_an_error_as_does_a_client_that_goes_on_with_60_mb() {
+    let host = served("v");
+    let proxy = Proxy::start(&[&host], 1024);
+    let half = &query(&read("1", "history", 9000))[..40];
+    let (mut new, mut old) = (Client::connect(proxy.address), proxy.client());
+    assert_eq!(old.ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
+    new.send(&[&startup(), half].concat());
+    assert_eq!(new.answer().end, End::Ready);
+    old.send(half);
+    for mut client in [new, old] {
+        let answer = client.answer();
+        assert_eq!((answer.code.as_str(), answer.end), ("08P01", End::Closed));
+    }
+    let mut long = proxy.client();
+    long.send(&[&b"Q"[..], &(60u32 << 20).to_be_bytes()].concat());
+    // A reset while this is written would fail the test.
+    (0..960).for_each(|_| long.send(&[b'x'; 64 << 10]));
+    let answer = long.answer();
+    assert_eq!((answer.code.as_str(), answer.end), ("08P01", End::Closed));
+}
+
+#[test]
+fn commands_that_come_together_are_answered_one_by_one_and_no_id_is_open_twice() {
+    let (answer_now, may_answer) = std::sync::mpsc::channel::<()>();
+    let may_answer = std::sync::Mutex::new(may_answer);
+    let host = Host::start(move |_, _| {
+        let _ = may_answer.lock().expect("lock").recv_timeout(PATIENCE);
+        Reply::Row("v")
+    });
+    let proxy = Proxy::start(&[&host], 1024);
+    let (mut first, mut other) = (proxy.client(), proxy.client());
+    let odd = message(b'Q', b"/* \xff\xfe */ SELECT 1\0");
+    let many = query("SELECT 1").repeat(500);
+    first.send(&[odd, many, query(&read("1", "history", 9000))].concat());
+    // All that before the request is answered while the request itself is out.
+    assert_eq!(first.answer().code, "22021");
+    assert!((0..500).all(|_| first.answer().code == "42601"));
+    assert_eq!(host.next(), Seen::Opened);
+    let answer = other.ask(&read("1", "history", 9000));
+    assert_eq!((answer.code.as_str(), answer.end), ("42710", End::Ready));
+    answer_now.send(()).expect("the host waits");
+    assert_eq!(first.answer().value.as_deref(), Some("v"));
+    // An id that ended just now is no other's either.
+    assert_eq!(other.ask(&read("1", "history", 9000)).code, "42710");
 }
 
 #[test]
@@ -303,6 +384,7 @@
         ("\"settings\"", "\"setings\"", "settings"),
         ("retryable", "repeatable", "effect"),
         ("\"seed\"", "\"limits\":{\"sockets\":9},\"seed\"", "limits.sockets"),
+        ("\"seed\"", "\"limits\":{\"memory_mb\":9},\"seed\"", "limits.memory_mb"),
         ("\"seed\"", "\"linger_ms\":60001,\"seed\"", "linger_ms"),
         ("\"seed\"", "\"known\":{\"index\":1},\"seed\"", "known"),
         ("{", "", "LB_CONFIG"),
