Know lagging replicas from turned-away reads and probes where answers tell no position

With every final answer of the module traced (its class, attempts, and the members' state), 1,300 of 2,200 were browse reads with one attempt that ended as a miss after the host's 100 ms wait, with an aim of 110 ms; ingest died with ten misses in 266 ms; browse was held, its members full. Causes: (1) answers here tell no position (positions: false), so reached() held every member to be current until a probe, and a miss taught it nothing. (2) probe() asked only idle and warm members, so that busy or new ones, which start from a copy 3 to 8 s old, were never asked. (3) a member that hands its role over still says server_role=writer beside 25006: returned() made it primary from the note and took that back from the miss, which set the search back to the list's hint, the same member, every few ms. Two scenarios; they fail with any of the four parts taken out.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -82,18 +82,6 @@
 /// Sessions remembered; past it the oldest fold into a floor that binds every session.
 const SESSIONS: usize = 50_000;
 
-/// Algorithms 1 and 2 of the thesis, every `PERIOD`.
-fn clamp(s: &mut Server, now: Micros) {
-    while s.samples.len() > 1 && s.samples[0].0 + LIST_AGE < now {
-        s.samples.pop_front();
-    }
-    let Some(&(_, latest)) = s.samples.back() else { return };
-    let sorted = sorted(s.samples.iter().map(|s| s.1));
-    s.adjusted = Some(tail_adjusted(&sorted, latest));
-    let over = sorted.iter().sum::<f64>() / sorted.len() as f64 - percentile(&sorted, 10.0);
-    s.wait = averaged(s.wait, over.max(0.0), OLD);
-}
-
 fn count(s: &mut Server) {
     s.q = averaged(s.q, f64::from(s.in_flight) + 1.0, Q_OLD);
 }
@@ -103,17 +91,9 @@
     s.errors * (-((now - s.error_at) as f64) / ERROR_HALF).exp2()
 }
 
-/// The latency that stands for a list: p90 where the tail is long, else p95 where the far tail is
-/// long, else the latest value.
+/// The latency that stands for a list, as the thesis has it.
 pub fn tail_adjusted(sorted: &[f64], latest: f64) -> f64 {
-    let at = |p| percentile(sorted, p);
-    if at(99.0) >= ALPHA * at(90.0) {
-        at(90.0)
-    } else if at(99.9) >= ALPHA * at(95.0) {
-        at(95.0)
-    } else {
-        latest
-    }
+    crate::state::tail_adjusted(sorted, latest, ALPHA)
 }
 
 /// The cubic score.
@@ -276,17 +256,23 @@
 
     /// The position a server is held to have. Where replicas turn stale reads away themselves, it is as far
     /// behind the clock as when last heard: one of hundreds of routers hears a server once in many seconds,
-    /// and known positions alone would send every bounded read to the primary. One unheard for long may try.
+    /// and known positions alone would send every bounded read to the primary. One unheard for long may try,
+    /// but not one that started lately: it goes on from an old copy, and a probe will tell.
     fn reached(&self, i: usize) -> Micros {
         let s = &self.servers[i];
         let known = s.position.unwrap_or(0);
-        if self.set.lag_check == LagCheck::Unchecked {
+        if self.set.lag_check == LagCheck::Unchecked || (s.unheard && self.blind()) {
             return known;
         }
-        let trusted = s.position.is_some() && s.heard_at + LIST_AGE + 2 * s.lag > self.now;
+        let trusted = s.heard_at > 0 && s.heard_at + LIST_AGE + 2 * s.lag > self.now;
         known.max(self.now - if trusted { s.lag.min(self.now) } else { 0 })
     }
 
+    /// Whether positions show in probes only.
+    fn blind(&self) -> bool {
+        self.set.limits.probes && !self.set.positions
+    }
+
     fn current_enough(&self, i: usize, r: &Request) -> bool {
         match self.set.classes[r.class].need {
             Need::Any => true,
@@ -497,8 +483,11 @@
         count(s);
         self.connections(i, outcome, e.latency);
         self.evidence(i, class, outcome, e.latency);
-        self.report(e.server, e.note, true);
-        if outcome == Outcome::Miss && matches!(need, Need::Write | Need::Fresh) {
+        // A member that hands its role over still calls itself primary while it turns writes away: taken for
+        // one each time, a held write would spend all its attempts on it within a moment.
+        let untrue = outcome == Outcome::Miss && matches!(need, Need::Write | Need::Fresh);
+        self.report(e.server, Report { role: e.note.role.filter(|_| !untrue), ..e.note }, true);
+        if untrue {
             self.role(i, Role::Replica, self.now, true);
         }
         if outcome == Outcome::Ok && need == Need::Write {
@@ -552,6 +541,7 @@
     fn evidence(&mut self, i: usize, class: usize, outcome: Outcome, latency: Micros) {
         let scale = self.scale(class);
         self.adapt(i, class, outcome, latency);
+        let need = self.set.classes[class].need;
         let s = &mut self.servers[i];
         let value = latency as f64;
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Miss) {
@@ -568,6 +558,12 @@
             Outcome::Timeout | Outcome::Cancelled if s.adjusted.is_none_or(|l| value * scale > l) => {
                 s.sample(self.now, value * scale, LIST_LEN);
             }
+            // It says itself that it was outside the bound, and no answer would tell so.
+            Outcome::Miss => {
+                if let Need::Bounded(bound) = need {
+                    (s.lag, s.heard_at) = (s.lag.max(bound + latency), self.now);
+                }
+            }
             Outcome::Error | Outcome::Reset => {
                 s.errors = averaged(errors(s, self.now), 1.0, 1.0 - ERROR_ADDS);
                 s.error_at = self.now;
@@ -639,7 +635,7 @@
                 let most = self.now - p;
                 let least = if direct { most } else { most.saturating_sub(PROBE_GAP) };
                 s.lag = s.lag.clamp(least, most);
-                s.heard_at = self.now;
+                (s.heard_at, s.unheard) = (self.now, false);
             }
             s.position = s.position.max(Some(p));
         }
@@ -742,7 +738,7 @@
         self.probe();
         self.tell();
         for s in &mut self.servers {
-            clamp(s, self.now);
+            s.clamp(self.now, LIST_AGE, ALPHA, OLD);
         }
         for c in self.classes.iter_mut().filter(|c| c.samples.len() >= 8) {
             c.p50 = percentile(&sorted(c.samples.iter().copied()), 50.0);
@@ -852,10 +848,13 @@
         let tightest = bounds.min().unwrap_or(Micros::MAX);
         let due = |i: &usize| {
             let s = &self.servers[*i];
-            let behind = s.position.is_none() || self.reached(*i).saturating_add(tightest) < self.now;
+            let unheard = s.position.is_none() || s.unheard;
+            let behind = unheard || self.reached(*i).saturating_add(tightest) < self.now;
             let due = s.probed_at.is_none_or(|t| t + PROBE_GAP <= self.now && tightest < Micros::MAX);
+            // Where answers tell positions, one that answers, or is still cold, need not be asked.
             let quiet = s.in_flight == 0 && s.last_answer + PROBE_GAP <= self.now;
-            s.listed == Listed::Ready && self.cold_share(*i).is_none() && behind && due && quiet
+            let fit = self.blind() || (quiet && self.cold_share(*i).is_none());
+            s.listed == Listed::Ready && behind && due && fit
         };
         let mut due: Vec<usize> = (0..self.servers.len()).filter(due).collect();
         // Longest unasked first; each router begins elsewhere.
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,6 +28,8 @@
     /// Distance of the position behind the clock when last heard, and when that was.
     pub lag: Micros,
     pub heard_at: Micros,
+    /// Nothing is known of where its present process stands.
+    pub unheard: bool,
     pub role_at: Micros,
     pub told_peers: Micros,
     pub probed_at: Option<Micros>,
@@ -52,9 +54,22 @@
         }
     }
 
+    /// Algorithms 1 and 2 of the thesis, over the latencies of this age; averages weigh `old`.
+    pub fn clamp(&mut self, now: Micros, age: Micros, alpha: f64, old: f64) {
+        while self.samples.len() > 1 && self.samples[0].0 + age < now {
+            self.samples.pop_front();
+        }
+        let Some(&(_, latest)) = self.samples.back() else { return };
+        let sorted = sorted(self.samples.iter().map(|s| s.1));
+        self.adjusted = Some(tail_adjusted(&sorted, latest, alpha));
+        let over = sorted.iter().sum::<f64>() / sorted.len() as f64 - percentile(&sorted, 10.0);
+        self.wait = averaged(self.wait, over.max(0.0), old);
+    }
+
     /// Forgets what an earlier process showed; the present one started at this time.
     pub fn restarted(&mut self, at: Micros) {
         self.started = Some(at);
+        self.unheard = true;
         self.samples.clear();
         self.adjusted = None;
         self.wait = 0.0;
@@ -84,6 +99,19 @@
     sorted[rank.clamp(1, sorted.len()) - 1]
 }
 
+/// The latency that stands for a list: p90 where the tail is long (p99 at `alpha` times it or more),
+/// else p95 where the far tail is long, else the latest value.
+pub(crate) fn tail_adjusted(sorted: &[f64], latest: f64, alpha: f64) -> f64 {
+    let at = |p| percentile(sorted, p);
+    if at(99.0) >= alpha * at(90.0) {
+        at(90.0)
+    } else if at(99.9) >= alpha * at(95.0) {
+        at(95.0)
+    } else {
+        latest
+    }
+}
+
 /// A group of servers, by their indices.
 #[derive(Default)]
 pub(crate) struct Group {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -167,8 +167,9 @@
     proxy.agent.line(&list(42, true, &[(&host, "SERVING")]));
     let mut clients: Vec<Client> = (0..PLACES).map(|_| proxy.client()).collect();
     for (i, client) in clients.iter_mut().enumerate() {
-        client.send(&[query("*"), query(&read(&format!("b{i}"), "ingest", 20_000))].concat());
-        assert_eq!(client.answer().code, "42601");
+        // Whoever has spoken just now, or asks for something, keeps its place.
+        assert!(client.ask("").empty);
+        client.send(&query(&read(&format!("b{i}"), "ingest", 20_000)));
     }
     // It need not say anything to hear so.
     let answer = Client::connect(proxy.address).answer();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -80,11 +80,13 @@
     router: Router,
     now: Micros,
     sent: BTreeMap<RequestId, u8>,
+    probed: Vec<ServerId>,
 }
 
 impl Rig {
     fn new(settings: Settings) -> Rig {
-        let mut rig = Rig { router: Router::new(settings, 11), now: T0, sent: BTreeMap::new() };
+        let mut rig =
+            Rig { router: Router::new(settings, 11), now: T0, sent: BTreeMap::new(), probed: Vec::new() };
         rig.at(0, &[three()]);
         rig
     }
@@ -97,6 +99,9 @@
             if let Action::Send { id, .. } = a {
                 *self.sent.entry(*id).or_insert(0) += 1;
             }
+            if let Action::Probe(server) = a {
+                self.probed.push(*server);
+            }
         }
         out
     }
@@ -124,6 +129,14 @@
         });
         self.at(0, &[event])
     }
+    /// The same, where answers tell nothing of their server.
+    fn end_untold(&mut self, id: RequestId, server: ServerId, outcome: Outcome, latency: Micros) {
+        self.now += latency;
+        let (attempt, finished) = (self.sent[&id] - 1, outcome == Outcome::Ok);
+        let (note, report) = Default::default();
+        let event = Returned { id, attempt, server, outcome, latency, finished, note, report };
+        self.at(0, &[Event::Outcome(event)]);
+    }
     fn heard(&mut self, server: ServerId, role: Role, behind: Micros) {
         let report = Report { position: Some(self.now - behind), role: Some(role), in_flight: None };
         self.at(0, &[Event::Probed { server, ok: true, report }]);
@@ -242,6 +255,59 @@
     assert_eq!(target(&out, 1), Some(1));
 }
 
+#[test]
+fn where_answers_tell_no_position_a_read_turned_away_and_a_new_start_do() {
+    let mut rig = Rig::new(Settings { positions: false, ..checked() });
+    for server in 1..=3 {
+        rig.heard(server, role_of(server), 0);
+    }
+    let mut next = 0;
+    // How many of 40 bounded reads go to a server, each served with no word of the position.
+    let mut share = |rig: &mut Rig, of: ServerId| {
+        let mut count = 0;
+        for _ in 0..40 {
+            next += 1;
+            let server = target(&rig.ask(next, 1), next).expect("sent");
+            count += usize::from(server == of);
+            rig.end_untold(next, server, Outcome::Ok, MS);
+        }
+        count
+    };
+    rig.at(1_000 * MS, &[]);
+    // Turned away after its wait, it is behind, and is left alone until a probe says otherwise.
+    let behind = target(&rig.ask(1_000, 1), 1_000).expect("sent");
+    rig.end_untold(1_000, behind, Outcome::Miss, 100 * MS);
+    assert_eq!(share(&mut rig, behind), 0);
+    rig.heard(behind, Role::Replica, 0);
+    assert!(share(&mut rig, behind) > 0);
+    // One that started lately goes on from an old copy: it is asked before it is read from.
+    let started = rig.now - 9_500 * MS;
+    rig.at(0, &[list(ListKind::Delta, vec![entry(4, Listed::Ready, false, started)])]);
+    assert_eq!(share(&mut rig, 4), 0);
+    rig.at(100 * MS, &[]);
+    assert!(rig.probed.contains(&4), "{:?}", rig.probed);
+    rig.heard(4, Role::Replica, 0);
+    assert!(share(&mut rig, 4) > 0);
+}
+
+#[test]
+fn a_member_that_turns_writes_away_is_not_primary_whatever_it_calls_itself() {
+    let mut rig = Rig::new(settings());
+    assert_eq!(target(&rig.ask(1, 5), 1), Some(1));
+    let mut asked = Vec::new();
+    let mut out = rig.end(1, 1, Outcome::Miss, 2 * MS, Role::Primary, 0);
+    for _ in 0..10 {
+        if let Some(server) = target(&out, 1) {
+            asked.push(server);
+            out = rig.end(1, server, Outcome::Miss, 2 * MS, Role::Primary, 0);
+        } else {
+            out = rig.at(10 * MS, &[]);
+        }
+    }
+    // Once more the list's hint, then the others in turn.
+    assert_eq!(asked.get(..3), Some(&[1, 2, 3][..]), "{asked:?}");
+}
+
 #[test]
 fn without_a_check_only_a_known_position_counts() {
     let mut set = settings();
