End spoilt answers at their first wrong byte, forget hosts that are gone, spend less on quick errors

Causes and lines: (1) again() took one unit of the retry budget for each error, however quick: a primary that fails a part of its writes within 2 ms used up 20 retries a second for what cost it nothing. (2) whole_message() believed any length up to 160 KB from a host, so a wrong one held the attempt to its end; answer() gave up a whole row for noise behind it, and pooled a connection with bytes left over. (3) an error that blames the statement was retried at up to ten hosts and held against each. (4) Core, Hosts and Router kept a name, an address and a record for every host ever listed, and the last write of 50,000 sessions where nothing reads them.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -82,15 +82,6 @@
 /// Sessions remembered; past it the oldest fold into a floor that binds every session.
 const SESSIONS: usize = 50_000;
 
-fn count(s: &mut Server) {
-    s.q = averaged(s.q, f64::from(s.in_flight) + 1.0, Q_OLD);
-}
-
-/// The present share of errors.
-fn errors(s: &Server, now: Micros) -> f64 {
-    s.errors * (-((now - s.error_at) as f64) / ERROR_HALF).exp2()
-}
-
 /// The latency that stands for a list, as the thesis has it.
 pub fn tail_adjusted(sorted: &[f64], latest: f64) -> f64 {
     crate::state::tail_adjusted(sorted, latest, ALPHA)
@@ -305,7 +296,8 @@
             }
             let behind = self.now.saturating_sub(self.reached(i));
             let latency = s.adjusted.unwrap_or(lowest).max(s.pending);
-            let mut points = score(latency, s.q, s.wait) * (1.0 + ERROR_POINTS * errors(s, self.now));
+            let mut points =
+                score(latency, s.q, s.wait) * (1.0 + ERROR_POINTS * s.errors(self.now, ERROR_HALF));
             points *= if self.set.crossings_cost && s.zone != self.set.zone { ABROAD } else { 1.0 };
             let mut tier = 0;
             if primary == Some(i) {
@@ -429,7 +421,7 @@
         r.attempts.push(Attempt { server: i, sent: self.now, outcome: None });
         let s = &mut self.servers[i];
         s.in_flight += 1;
-        count(s);
+        s.count(Q_OLD);
         self.out.push(Action::Send { id, server: s.id, timeout });
     }
 
@@ -480,7 +472,7 @@
         let need = self.set.classes[class].need;
         let s = &mut self.servers[i];
         s.in_flight = s.in_flight.saturating_sub(1);
-        count(s);
+        s.count(Q_OLD);
         self.connections(i, outcome, e.latency);
         self.evidence(i, class, outcome, e.latency);
         // A member that hands its role over still calls itself primary while it turns writes away: taken for
@@ -490,7 +482,7 @@
         if untrue {
             self.role(i, Role::Replica, self.now, true);
         }
-        if outcome == Outcome::Ok && need == Need::Write {
+        if (outcome, need, self.set.tokens) == (Outcome::Ok, Need::Write, Tokens::Remembered) {
             self.sessions.remember(session, e.note.position.unwrap_or(self.now), SESSIONS);
         }
         let dirty = self.groups.get_mut(&group).is_some_and(|g| {
@@ -500,7 +492,7 @@
         if closed {
             self.close(id);
         } else {
-            self.again(id, outcome);
+            self.again(id, outcome, e.latency);
         }
         if dirty {
             self.release(group);
@@ -508,13 +500,16 @@
     }
 
     /// After a failed attempt: another, if the rules allow it and the budget lasts.
-    fn again(&mut self, id: RequestId, outcome: Outcome) {
+    fn again(&mut self, id: RequestId, outcome: Outcome, latency: Micros) {
         let Some(r) = self.requests.get(&id) else { return };
         if !outcome.never_ran() {
-            if self.tokens < 1.0 {
+            // An error that came at once cost its server next to nothing, and the next try may serve.
+            let quick = latency as f64 / self.classes[r.class].p50.max(1.0);
+            let cost = if outcome == Outcome::Error { quick.min(1.0) } else { 1.0 };
+            if self.tokens < cost {
                 return self.finish(id);
             }
-            self.tokens -= 1.0;
+            self.tokens -= cost;
         } else if r.attempts.len() >= 3 && outcome == Outcome::Miss {
             // Turned away all round: the next look is with the tick, not at once.
             return self.hold(id);
@@ -541,7 +536,6 @@
     fn evidence(&mut self, i: usize, class: usize, outcome: Outcome, latency: Micros) {
         let scale = self.scale(class);
         self.adapt(i, class, outcome, latency);
-        let need = self.set.classes[class].need;
         let s = &mut self.servers[i];
         let value = latency as f64;
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Miss) {
@@ -550,7 +544,7 @@
         match outcome {
             Outcome::Ok => {
                 s.sample(self.now, value * scale, LIST_LEN);
-                s.errors *= 1.0 - ERROR_ADDS;
+                s.error_share *= 1.0 - ERROR_ADDS;
                 s.strikes = 0;
                 self.classes[class].served(value, CLASS_OLD, CLASS_LEN);
                 blend(&mut self.mean, value, CLASS_OLD);
@@ -560,12 +554,12 @@
             }
             // It says itself that it was outside the bound, and no answer would tell so.
             Outcome::Miss => {
-                if let Need::Bounded(bound) = need {
+                if let Need::Bounded(bound) = self.set.classes[class].need {
                     (s.lag, s.heard_at) = (s.lag.max(bound + latency), self.now);
                 }
             }
             Outcome::Error | Outcome::Reset => {
-                s.errors = averaged(errors(s, self.now), 1.0, 1.0 - ERROR_ADDS);
+                s.error_share = averaged(s.errors(self.now, ERROR_HALF), 1.0, 1.0 - ERROR_ADDS);
                 s.error_at = self.now;
             }
             Outcome::ConnectFailed if s.ejected_until <= self.now => {
@@ -765,7 +759,7 @@
     fn age(&mut self) {
         for s in &mut self.servers {
             s.pending = 0.0;
-            count(s);
+            s.count(Q_OLD);
         }
         for r in self.requests.values() {
             let scale = self.scale(r.class);
@@ -786,6 +780,10 @@
             return;
         }
         self.due.ask_fails = if kind == ListKind::Cached { self.due.ask_fails } else { 0 };
+        // Servers come with new ids without end: one gone for long, and in no request, is let go.
+        let (before, any) =
+            (self.now.saturating_sub(self.set.safety.cold), !self.set.safety.only_draining_binds);
+        forget(&mut self.servers, &mut self.index, &mut self.groups, &self.requests, any, before);
         for i in 0..self.servers.len() {
             if kind != ListKind::Delta && entries.iter().all(|e| e.server != self.servers[i].id) {
                 self.listed_as(i, Listed::Gone);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -9,7 +9,7 @@
 
 use super::core::{Call, Clock, Core, Ending, Order, fnv1a};
 use super::hosts::{Attempted, Hosts};
-use super::{by, read, read_with};
+use super::{by, complain, read, read_with};
 use crate::pg::{self, ErrorFields, Frontend, Inbox, Row, Startup, Statement, code};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -191,7 +191,7 @@
                     future::yield_now().await;
                 }
                 Err(e) => {
-                    eprintln!("clients: accepting: {e}");
+                    complain(|| format!("clients: accepting: {e}"));
                     Timer::after(ACCEPT_WAIT).await;
                 }
             }
@@ -302,8 +302,12 @@
 /// The one final answer to a request.
 enum Verdict {
     Served(Row),
-    Refused { retry_in: Micros },
+    Refused {
+        retry_in: Micros,
+    },
     Failed,
+    /// The statement itself was wrong, as a database host says.
+    Rejected(ErrorFields),
 }
 
 /// Why a wait for more bytes ended.
@@ -453,7 +457,12 @@
                 ticket.ended(Ending { server, number, outcome, latency: sent.elapsed(), note });
             };
             match happened {
-                Happened::Ended(Attempted { outcome, note, row }) => {
+                Happened::Ended(Attempted { outcome, note, rejected: Some(e), .. }) => {
+                    ticket.answered();
+                    ended(outcome, note);
+                    return Some(Verdict::Rejected(e));
+                }
+                Happened::Ended(Attempted { outcome, note, row, .. }) => {
                     ended(outcome, note);
                     if let Some(row) = row {
                         return Some(Verdict::Served(row));
@@ -517,6 +526,7 @@
                 };
                 pg::put_error(&mut self.out, &fields);
             }
+            Verdict::Rejected(e) => pg::put_error(&mut self.out, &ErrorFields { fatal: false, ..e }),
             Verdict::Failed => self.error(code::COMPLETION_UNKNOWN, "failed: it may or may not have run"),
         }
     }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -20,6 +20,10 @@
 /// With a list of before, this much silence of discovery is waited for.
 const SILENT: Duration = Duration::from_secs(1);
 
+/// A name that has left the list is kept for so many times as long as a server is cold: longer than
+/// the module keeps it, so that a number never passes to another name meanwhile.
+const KEPT_COLD: Micros = 4;
+
 /// The one clock, and the one place where times of the sockets become the module's.
 ///
 /// The module counts microseconds since the Unix epoch, steadily from the program's start, so a
@@ -109,6 +113,8 @@
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
     names: BTreeMap<ServerId, String>,
     ids: BTreeMap<String, ServerId>,
+    /// Those that have left the list, and when.
+    left: BTreeMap<ServerId, Micros>,
     groups: BTreeSet<GroupId>,
 }
 
@@ -117,6 +123,7 @@
     pub clock: Clock,
     pub dialect: Dialect,
     inner: RefCell<Inner>,
+    kept: Micros,
     timer_set: (Sender<()>, Receiver<()>),
     chores: Sender<Chore>,
     /// Closed once discovery has spoken.
@@ -127,6 +134,7 @@
     /// A core that knows nothing yet; what the hosts' owner must do comes out of the receiver.
     pub fn new(settings: Settings, dialect: Dialect, seed: u64) -> (Core, Receiver<Chore>) {
         let (chores, todo) = unbounded();
+        let kept = settings.safety.cold.saturating_mul(KEPT_COLD);
         let inner = Inner {
             router: Router::new(settings, seed),
             actions: Vec::new(),
@@ -135,12 +143,14 @@
             timers: BinaryHeap::new(),
             names: BTreeMap::new(),
             ids: BTreeMap::new(),
+            left: BTreeMap::new(),
             groups: BTreeSet::new(),
         };
         let core = Core {
             clock: Clock::start(),
             dialect,
             inner: RefCell::new(inner),
+            kept,
             timer_set: async_channel::bounded(1),
             chores,
             listed: async_channel::bounded(1),
@@ -230,7 +240,8 @@
                 started: Clock::from_unix_ms(e.since_ms),
             });
         }
-        let ids = entries.iter().map(|e| e.server).collect();
+        let ids: Vec<ServerId> = entries.iter().map(|e| e.server).collect();
+        self.inner.borrow_mut().note_leavers(&entries, listing.full, self.clock.now());
         if !cached {
             self.listed.0.close();
         }
@@ -238,6 +249,21 @@
         ids
     }
 
+    /// Lets go of the names that left the list long ago, and returns their numbers. Guards against a
+    /// day on which servers are replaced by new ones without end.
+    pub fn forget(&self) -> Vec<ServerId> {
+        let now = self.clock.now();
+        let mut inner = self.inner.borrow_mut();
+        let Inner { left, names, ids, .. } = &mut *inner;
+        let gone: Vec<ServerId> =
+            left.iter().filter(|(_, at)| **at + self.kept < now).map(|(id, _)| *id).collect();
+        for id in &gone {
+            left.remove(id);
+            names.remove(id).and_then(|name| ids.remove(&name));
+        }
+        gone
+    }
+
     /// Hands one event to the module as it happens, and its actions to those who carry them out.
     fn feed(&self, event: Event) {
         let mut inner = self.inner.borrow_mut();
@@ -310,6 +336,18 @@
 }
 
 impl Inner {
+    fn note_leavers(&mut self, entries: &[Entry], full: bool, now: Micros) {
+        let named: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
+        let missing = self.names.keys().filter(|id| full && !named.contains(id));
+        let deleted = entries.iter().filter(|e| e.state == Listed::Gone).map(|e| &e.server);
+        for id in missing.chain(deleted) {
+            self.left.entry(*id).or_insert(now);
+        }
+        for e in entries.iter().filter(|e| e.state != Listed::Gone) {
+            self.left.remove(&e.server);
+        }
+    }
+
     /// A server's number: drawn from its name, so that all proxies agree on the order of servers.
     fn number(&mut self, name: &str) -> ServerId {
         if let Some(&id) = self.ids.get(name) {
@@ -365,6 +403,11 @@
         }));
     }
 
+    /// The client gets an answer that is none of the module's: with the attempt, the request is over.
+    pub fn answered(&self) {
+        self.answered.set(true);
+    }
+
     /// The client has left: nothing is owed any more.
     pub fn client_gone(&self) {
         self.answered.set(true);
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -5,8 +5,8 @@
 
 use super::core::{Chore, Clock, Core};
 use super::discovery::{Listing, Status};
-use super::{by, read};
-use crate::pg::{self, Backend, Inbox, Row, Statement, code};
+use super::{by, complain, read};
+use crate::pg::{self, Backend, ErrorFields, Inbox, Row, Statement, code};
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -67,11 +67,13 @@
     pub outcome: Outcome,
     pub note: Report,
     pub row: Option<Row>,
+    /// What the host holds against the statement itself, as any other host would.
+    pub rejected: Option<ErrorFields>,
 }
 
 impl Attempted {
     fn without_answer(outcome: Outcome) -> Attempted {
-        Attempted { outcome, note: Report::default(), row: None }
+        Attempted { outcome, note: Report::default(), row: None, rejected: None }
     }
 }
 
@@ -102,6 +104,9 @@
     /// News of the list; `ids` are the numbers of its entries.
     pub fn listed(&self, ids: &[ServerId], listing: &Listing) {
         let mut hosts = self.hosts.borrow_mut();
+        for gone in self.core.forget() {
+            hosts.remove(&gone);
+        }
         let now = Instant::now();
         if listing.full {
             for (_, host) in hosts.iter_mut().filter(|(id, _)| !ids.contains(id)) {
@@ -110,7 +115,7 @@
             }
         }
         for (&id, e) in ids.iter().zip(&listing.entries) {
-            if let Some(address) = e.socket {
+            if let Some(address) = e.socket.filter(|_| e.status != Status::Deleted) {
                 let host =
                     hosts.entry(id).or_insert_with(|| Host { address, idle: Vec::new(), off_since: None });
                 if host.address != address {
@@ -293,11 +298,11 @@
                 Ok(Backend::Error(e)) if e.code == code::TOO_MANY_CONNECTIONS => return Err(Outcome::Full),
                 Ok(Backend::AuthenticationOk | Backend::ParameterStatus { .. } | Backend::Skipped) => {}
                 Ok(other) => {
-                    eprintln!("hosts: {address}: {other:?} at a session's start");
+                    complain(|| format!("hosts: {address}: {other:?} at a session's start"));
                     return Err(Outcome::ConnectFailed);
                 }
                 Err(Broken::Nonsense(what)) => {
-                    eprintln!("hosts: {address}: {what}");
+                    complain(|| format!("hosts: {address}: {what}"));
                     return Err(Outcome::ConnectFailed);
                 }
                 Err(Broken::Ended) => return Err(Outcome::ConnectFailed),
@@ -328,7 +333,7 @@
     /// Reads the answer to the query that is out: what it amounts to, and whether the connection
     /// may serve another.
     async fn answer(&mut self) -> (Attempted, bool) {
-        let mut note = Report::default();
+        let (mut note, mut rejected) = (Report::default(), None);
         let (mut column, mut value, mut row, mut refused) = (None, None, None, None);
         let ended = loop {
             match self.message().await {
@@ -353,21 +358,30 @@
                 Err(broken) => break Some(broken),
             }
         };
+        if let Some(Broken::Nonsense(what)) = &ended {
+            complain(|| format!("hosts: {}: {what}", self.address));
+        }
         let outcome = match (&refused, &row, &ended) {
             (Some(e), ..) => match e.code.as_str() {
                 code::READ_ONLY | code::SNAPSHOT_TOO_OLD => Outcome::Miss,
                 code::TOO_MANY_CONNECTIONS => Outcome::Full,
+                // Guards against a statement that makes no sense being tried at one host after the
+                // other, and being held against each of them.
+                other if code::blames_statement(other) => {
+                    rejected = refused.take();
+                    Outcome::Moot
+                }
                 _ => Outcome::Error,
             },
-            (None, _, Some(Broken::Nonsense(what))) => {
-                eprintln!("hosts: {}: {what}", self.address);
-                Outcome::Error
-            }
+            // Whole up to its end: what comes behind it spoils the connection only.
             (None, Some(_), _) => Outcome::Ok,
+            (None, None, Some(Broken::Nonsense(_))) => Outcome::Error,
             (None, None, Some(Broken::Ended)) => Outcome::Reset,
             (None, None, None) => Outcome::Error,
         };
         let row = row.filter(|_| outcome == Outcome::Ok);
-        (Attempted { outcome, note, row }, ended.is_none())
+        // Guards against something unasked passing for the answer to the next request.
+        let reusable = ended.is_none() && self.inbox.is_empty();
+        (Attempted { outcome, note, row, rejected }, reusable)
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,16 +10,21 @@
 use crate::pg::Inbox;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::{self, Read};
 use std::net::TcpStream;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Bytes that one read may bring.
 const READ_BYTES: usize = 32 * 1024;
 
+/// Complaints about peers that are written in a second; of the others only the number is.
+const COMPLAINTS: u32 = 10;
+
 thread_local! {
+    /// Since when complaints are counted, and how many there were.
+    static COMPLAINED: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
     /// Where every read lands first. One for all connections, which hold only what has come.
     static LANDING: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
 }
@@ -50,3 +55,17 @@
     })
     .await
 }
+
+/// Writes a line about a peer's misbehaviour. Guards against a peer that fills the log.
+pub fn complain(line: impl FnOnce() -> String) {
+    let (since, count) = COMPLAINED.get();
+    let fresh = since.is_none_or(|since| since.elapsed() > Duration::from_secs(1));
+    if fresh && count > COMPLAINTS {
+        eprintln!("... and {} more such lines", count - COMPLAINTS);
+    }
+    let (since, count) = if fresh { (Some(Instant::now()), 0) } else { (since, count) };
+    if count < COMPLAINTS {
+        eprintln!("{}", line());
+    }
+    COMPLAINED.set((since, count + 1));
+}
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -4,6 +4,8 @@
 
 /// The longest message accepted: a value of 64 KiB as hexadecimal text, with room around it.
 pub const MOST_BYTES: usize = 160 * 1024;
+/// The longest message of a database host that holds no row.
+const MOST_OTHER: i64 = 16 * 1024;
 /// An inbox that has been emptied keeps this much of its memory.
 const KEPT_BYTES: usize = 4 * 1024;
 /// The longest startup packet accepted, as in PostgreSQL itself.
@@ -23,6 +25,12 @@
     pub const UNDEFINED_OBJECT: &str = "42704";
     pub const TOO_MANY_CONNECTIONS: &str = "53300";
     pub const CANNOT_CONNECT_NOW: &str = "57P03";
+
+    /// Whether a code says that the statement itself was wrong: not read, not supported, bad data,
+    /// bad syntax or names.
+    pub fn blames_statement(code: &str) -> bool {
+        code == PROTOCOL_VIOLATION || ["0A", "22", "42"].iter().any(|class| code.starts_with(class))
+    }
 }
 
 /// Bytes that are no message; the text says why.
@@ -257,11 +265,36 @@
     Ok(Some(message))
 }
 
-/// Takes one message of a database host.
-pub fn decode_backend(inbox: &mut Inbox) -> Decoded<Backend> {
-    if let Some(kind) = inbox.rest().first().filter(|k| !b"RSKTDCIEZNAtnv".contains(k)) {
+/// Whether the head of a host's message can be that of one. Guards against waiting for the rest of
+/// an answer whose length is wrong: it never comes, and the attempt would take all of its time.
+fn check_backend_head(rest: &[u8]) -> Result<(), Malformed> {
+    let Some((&kind, rest)) = rest.split_first() else { return Ok(()) };
+    if !b"RSKTDCIEZNAtnv".contains(&kind) {
         return bad(format!("a message of the unknown type {kind:#04x}"));
     }
+    let Some((len, rest)) = rest.split_first_chunk::<4>() else { return Ok(()) };
+    let len = i64::from(i32::from_be_bytes(*len));
+    let most = match kind {
+        b'D' => MOST_BYTES as i64,
+        b'Z' => 5,
+        _ => MOST_OTHER,
+    };
+    if !(4..=most).contains(&len) {
+        return bad(format!("a message of type {:?} with {len} bytes", kind as char));
+    }
+    if let (b'D', Some(head)) = (kind, rest.first_chunk::<6>()) {
+        let mut head = Body(head);
+        let (columns, value) = (head.i16()?, i64::from(head.i32()?));
+        if columns == 1 && len != 10 + value.max(0) {
+            return bad(format!("a row of {len} bytes with a value of {value}"));
+        }
+    }
+    Ok(())
+}
+
+/// Takes one message of a database host.
+pub fn decode_backend(inbox: &mut Inbox) -> Decoded<Backend> {
+    check_backend_head(inbox.rest())?;
     let Some((kind, bytes)) = whole_message(inbox)? else { return Ok(None) };
     let mut body = Body(bytes);
     let message = match kind {
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,8 @@
 #[derive(Default)]
 pub(crate) struct Server {
     pub id: ServerId,
+    /// No server: a place kept for the next one.
+    pub vacant: bool,
     pub group: GroupId,
     pub zone: u8,
     pub listed: Listed,
@@ -34,7 +36,7 @@
     pub told_peers: Micros,
     pub probed_at: Option<Micros>,
     /// Share of errors as of this time.
-    pub errors: f64,
+    pub error_share: f64,
     pub error_at: Micros,
     pub strikes: u32,
     pub ejected_until: Micros,
@@ -54,6 +56,16 @@
         }
     }
 
+    /// Takes the present in-flight count into its average, the old value weighing `old`.
+    pub fn count(&mut self, old: f64) {
+        self.q = averaged(self.q, f64::from(self.in_flight) + 1.0, old);
+    }
+
+    /// The present share of errors, which halves in this time.
+    pub fn errors(&self, now: Micros, half: f64) -> f64 {
+        self.error_share * (-((now - self.error_at) as f64) / half).exp2()
+    }
+
     /// Algorithms 1 and 2 of the thesis, over the latencies of this age; averages weigh `old`.
     pub fn clamp(&mut self, now: Micros, age: Micros, alpha: f64, old: f64) {
         while self.samples.len() > 1 && self.samples[0].0 + age < now {
@@ -73,7 +85,7 @@
         self.samples.clear();
         self.adjusted = None;
         self.wait = 0.0;
-        self.errors = 0.0;
+        self.error_share = 0.0;
         self.ejected_until = 0;
     }
 }
@@ -262,14 +274,39 @@
     })
 }
 
-/// Adds a server that the list names for the first time.
+/// Lets servers go that left before this time and that no request has been to, and keeps their places
+/// for new ones. Those that only left the list without draining go only if `any` may.
+pub(crate) fn forget(
+    servers: &mut [Server], index: &mut BTreeMap<ServerId, usize>, groups: &mut BTreeMap<GroupId, Group>,
+    requests: &BTreeMap<RequestId, Request>, any: bool, before: Micros,
+) {
+    for (i, s) in servers.iter_mut().enumerate() {
+        let gone = s.listed == Listed::Gone && (any || s.seen_draining) && s.told_at < before;
+        if s.vacant || !gone || requests.values().any(|r| r.attempts.iter().any(|a| a.server == i)) {
+            continue;
+        }
+        index.remove(&s.id);
+        if let Some(g) = groups.get_mut(&s.group) {
+            g.members.retain(|&m| m != i);
+            g.primary = g.primary.filter(|&m| m != i);
+            g.hint = g.hint.filter(|&m| m != i);
+        }
+        *s = Server { vacant: true, listed: Listed::Gone, ..Server::default() };
+    }
+}
+
+/// Adds a server that the list names for the first time, or anew after it was forgotten.
 pub(crate) fn add_server(
     servers: &mut Vec<Server>, index: &mut BTreeMap<ServerId, usize>, groups: &mut BTreeMap<GroupId, Group>,
     e: &Entry, limit: f64,
 ) {
-    index.insert(e.server, servers.len());
+    let i = servers.iter().position(|s| s.vacant).unwrap_or(servers.len());
+    if i == servers.len() {
+        servers.push(Server::default());
+    }
+    servers[i] = Server { id: e.server, group: e.group, zone: e.zone, q: 1.0, limit, ..Server::default() };
+    index.insert(e.server, i);
     let members = &mut groups.entry(e.group).or_default().members;
-    members.push(servers.len());
-    servers.push(Server { id: e.server, group: e.group, zone: e.zone, q: 1.0, limit, ..Server::default() });
+    members.push(i);
     members.sort_by_key(|&m| servers[m].id);
 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -56,6 +56,80 @@
     while host.next() != Seen::Closed {}
 }
 
+#[test]
+fn spoilt_answers_end_their_attempt_at_once_and_what_comes_behind_a_good_one_serves_nobody() {
+    let long_row = [b"D".as_slice(), &100_000u32.to_be_bytes(), b"\0\x01\0\0\0\x01v"].concat();
+    let huge_row = [b"D".as_slice(), &3_000_000_000u32.to_be_bytes(), b"\0\x01", &[b'v'; 4096]].concat();
+    let endless = [b"C".as_slice(), &100_000u32.to_be_bytes(), b"SELECT"].concat();
+    let good = row("good");
+    let until_ready = good[..good.len() - 6].to_vec();
+    // Per request the bytes of its first attempt; the second gets a plain row.
+    let firsts = vec![
+        ("1", long_row),
+        ("2", huge_row),
+        ("3", endless),
+        ("4", [good.clone(), row("stale")].concat()),
+        ("5", [good, b"noise".to_vec()].concat()),
+        ("6", [until_ready, b"noise".to_vec()].concat()),
+    ];
+    let tried = std::sync::Mutex::new(std::collections::HashSet::new());
+    let script = firsts.clone();
+    let host = Host::start(move |_, text| {
+        let first = script.iter().find(|(id, _)| text.contains(&format!("id={id},")));
+        match first.filter(|(id, _)| tried.lock().expect("lock").insert(*id)) {
+            Some((_, bytes)) => Reply::Bytes(bytes.clone()),
+            None if text == "SHOW usage" => Reply::Row("x0=\u{fffd}9,x1,util=nan"),
+            None => Reply::Row("v"),
+        }
+    });
+    let probes = |config: String| config.replace("\"cancel\":true", "\"cancel\":true,\"mayProbe\":true");
+    let proxy = Proxy::start_with(&[&host], 1024, probes);
+    let mut client = proxy.client();
+    for (id, _) in &firsts {
+        let served = client.ask(&read(id, "history", 9000));
+        let expected = if *id < "4" { "v" } else { "good" };
+        assert_eq!(served.value.as_deref(), Some(expected), "{id}: {served:?}");
+        let next = client.ask(&read(&format!("{id}b"), "history", 9000));
+        assert_eq!(next.value.as_deref(), Some("v"), "after {id}: {next:?}");
+    }
+}
+
+#[test]
+fn a_statement_that_the_host_cannot_use_is_tried_once_and_its_client_hears_why() {
+    let host = Host::start(|n, _| if n == 0 { Reply::Error("42601") } else { Reply::Row("v") });
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    assert_eq!(client.ask(&read("1", "history", 9000)).code, "42601");
+    assert_eq!(client.ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
+}
+
+#[test]
+fn hosts_that_are_replaced_without_end_are_forgotten() {
+    let proxy = Proxy::start_with(&[], 1024, |config| config.replace("\"coldUs\":15000000", "\"coldUs\":1"));
+    proxy.agent.asked();
+    let entry = |i: usize, status: &str| {
+        format!(r#"{{"name":"h-{i:032}","address":"127.0.0.1:9","group":3,"status":"{status}"}}"#)
+    };
+    const BATCH: usize = 500;
+    let replace = |round: usize| {
+        let old = (round.saturating_sub(1) * BATCH..round * BATCH).map(|i| entry(i, "DELETED"));
+        let new = (round * BATCH..(round + 1) * BATCH).map(|i| entry(i, "SERVING"));
+        let all: Vec<String> = old.chain(new).collect();
+        let index = 42 + round;
+        proxy.agent.line(&format!(r#"{{"index":{index},"snapshot":false,"endpoints":[{}]}}"#, all.join(",")));
+    };
+    let memory_after = |rounds: std::ops::Range<usize>| {
+        let index = 41 + rounds.end;
+        rounds.for_each(replace);
+        proxy.agent.end_watch();
+        assert!(proxy.agent.asked().contains(&format!("index={index} ")));
+        proxy.memory_kb()
+    };
+    // 40,000 hosts more would take 3 MB in any one of the three places that know them.
+    let (early, late) = (memory_after(0..20), memory_after(20..100));
+    assert!(late < early + 2_000, "{early} KB, then {late} KB");
+}
+
 #[test]
 fn a_read_that_was_turned_away_or_failed_goes_out_again_on_the_same_connection() {
     let host =
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -661,6 +661,20 @@
     assert!(erred && at_two[1] == 0 && at_two[2] > 0, "{at_two:?}");
 }
 
+#[test]
+fn errors_that_come_at_once_hardly_touch_the_retry_budget() {
+    let mut rig = Rig::new(settings());
+    for id in 1..=5 {
+        let mut out = rig.ask(id, 0);
+        for _ in 0..4 {
+            let server = target(&out, id).expect("tried again");
+            out = rig.end(id, server, Outcome::Error, MS, role_of(server), 0);
+        }
+        let server = target(&out, id).expect("tried again");
+        rig.end(id, server, Outcome::Ok, MS, role_of(server), 0);
+    }
+}
+
 #[test]
 fn a_router_that_knows_nothing_does_not_flood() {
     let mut rig = Rig::new(settings());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -282,6 +282,12 @@
         let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("kill").success());
     }
+    /// Its memory in KB, as the kernel counts it.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("a figure");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
     /// Puts a changed configuration in place of the file and says so.
     pub fn reload(&self, from: &str, to: &str) {
         let next = self.path.with_extension("next");
