Open a door for operators with readiness, figures and the drain of a proxy

Cause: there was no console; client.rs answered the empty query by readiness alone. Now net/console.rs answers five paths on descriptors of its own, the core counts, client.rs drains in two steps.

--- a/src/config.rs
+++ b/src/config.rs
@@ -2,10 +2,11 @@
 //! and given defaults. It owns the names of the keys; every message it returns names the faulty
 //! one. It must never open a socket, and nothing else may read the environment.
 //!
-//! At the start `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` outrank the same keys of the file. On a
+//! At the start `LB_NAME`, `LB_LISTEN`, `LB_DISCOVERY` and `LB_CONSOLE` outrank the same keys of the file. On a
 //! reload the file is checked as at a start; a `discovery` that it names anew then wins, since the
 //! environment of a running program cannot change. All other keys count at the next start.
 
+use crate::net::console::CALLERS;
 use crate::net::core::fnv1a;
 use crate::net::discovery::Listing;
 use serde::Deserialize;
@@ -36,6 +37,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call; none, no door.
+    pub console: Option<SocketAddr>,
     pub seed: u64,
     /// The list as this proxy last had it, maybe old.
     pub known: Option<Listing>,
@@ -59,6 +62,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    console: Option<String>,
     seed: Option<String>,
     limits: Option<LimitsConf>,
     linger_ms: Option<u64>,
@@ -89,6 +93,7 @@
         let differs = [
             ("name", old.name != new.name),
             ("listen", old.listen != new.listen),
+            ("console", old.console != new.console),
             ("limits", old.limits != new.limits),
             ("linger_ms", old.linger_ms != new.linger_ms),
             ("settings", old.settings != new.settings),
@@ -105,6 +110,8 @@
         let discovery = address("discovery", discovery, "LB_DISCOVERY")?;
         // Guards against an address of the file that the environment hides today and a reload would use.
         file.discovery.clone().map(|d| address("discovery", Some(d), "LB_DISCOVERY")).transpose()?;
+        let console = var("LB_CONSOLE").or(file.console.clone());
+        let console = console.map(|c| address("console", Some(c), "LB_CONSOLE")).transpose()?;
         let name = var("LB_NAME").or(file.name.clone()).ok_or("name: missing (or set LB_NAME)")?;
         let seed = match &file.seed {
             Some(text) => u64::from_str_radix(text, 16)
@@ -140,12 +147,14 @@
         if linger_ms > MOST_LINGER_MS {
             return Err(format!("linger_ms: {linger_ms} is over {MOST_LINGER_MS}"));
         }
-        let most_host_connections = (sockets - SPARE_SOCKETS) * 2 / 5;
-        let most_clients = sockets - SPARE_SOCKETS - most_host_connections;
+        let spare = SPARE_SOCKETS + console.map_or(0, |_| CALLERS);
+        let most_host_connections = (sockets - spare) * 2 / 5;
+        let most_clients = sockets - spare - most_host_connections;
         Ok(Config {
             name,
             listen,
             discovery,
+            console,
             seed,
             known: known.transpose()?,
             settings,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -203,24 +203,17 @@
         }
     }
 
-    fn healthy(&self, i: usize) -> bool {
-        let s = &self.servers[i];
-        // After an ejection one attempt at a time until one is served.
-        self.now >= s.ejected_until && (s.strikes == 0 || s.in_flight == 0)
-    }
-
-    fn cold_share(&self, i: usize) -> Option<f64> {
-        let age = self.now.saturating_sub(self.servers[i].started?) as f64;
-        let rise = age / self.set.safety.cold.max(1) as f64;
-        let start = self.set.safety.start_capacity;
-        (rise < 1.0).then(|| (start + (1.0 - start) * rise).clamp(0.01, 1.0))
+    /// How many servers are listed, and how many of them get nothing, or only one attempt to see.
+    pub fn hosts(&self) -> (usize, usize) {
+        let listed = || self.servers.iter().filter(|s| s.listed != Listed::Gone);
+        (listed().count(), listed().filter(|s| s.listed == Listed::Draining || s.strikes > 0).count())
     }
 
     /// Slow start without sight of the other routers: each request drew a lot, and a cold server is open to
     /// the lots of its own slot, as wide as its present share of the work and less where little tips it over.
     /// All routers together send it no more; further attempts go elsewhere, so turned-away work can't add up.
     fn lets_in(&self, i: usize, r: &Request, primary_work: bool) -> bool {
-        let Some(share) = self.cold_share(i) else { return true };
+        let Some(share) = self.servers[i].cold_share(self.now, &self.set.safety) else { return true };
         let tip = self.set.safety.tip_multiple / 2.0;
         let Some(g) = self.groups.get(&self.servers[i].group) else { return false };
         if primary_work {
@@ -240,11 +233,6 @@
         r.attempts.is_empty() && (0.0..share * (tip / 2.0).min(1.0)).contains(&place)
     }
 
-    fn has_room(&self, i: usize) -> bool {
-        let s = &self.servers[i];
-        self.now >= s.full_until && f64::from(s.in_flight) < s.limit
-    }
-
     /// The position a server is held to have. Where replicas turn stale reads away themselves, it is as far
     /// behind the clock as when last heard: one of hundreds of routers hears a server once in many seconds,
     /// and known positions alone would send every bounded read to the primary. One unheard for long may try,
@@ -280,8 +268,8 @@
         let primary = group.primary;
         if matches!(need, Need::Write | Need::Fresh) {
             let i = primary?;
-            let open = self.sendable(i, true) && self.healthy(i);
-            return (open && self.has_room(i) && self.lets_in(i, r, true)).then_some(i);
+            let open = self.sendable(i, true) && self.servers[i].healthy(self.now);
+            return (open && self.servers[i].has_room(self.now) && self.lets_in(i, r, true)).then_some(i);
         }
         let lowest = group.members.iter().filter_map(|&i| self.servers[i].adjusted);
         let lowest = lowest.min_by(f64::total_cmp).unwrap_or(L_DEFAULT);
@@ -315,9 +303,9 @@
                 points = behind as f64;
                 tier = 2;
             }
-            tier += if self.healthy(i) { 0 } else { 3 };
+            tier += if self.servers[i].healthy(self.now) { 0 } else { 3 };
             tier += if r.attempts.iter().any(|a| a.server == i) { 6 } else { 0 };
-            options.push((tier, points, i, self.has_room(i)));
+            options.push((tier, points, i, self.servers[i].has_room(self.now)));
         }
         let tier = options.iter().map(|o| o.0).min()?;
         // A full tier is waited for: the next one would only turn the read away.
@@ -673,7 +661,7 @@
     /// Looks for the primary with one held write at a time, the list's hint first, then by id.
     fn scout(&mut self, group: GroupId) {
         let Some(g) = self.groups.get(&group) else { return };
-        let known = g.primary.is_some_and(|p| self.sendable(p, true) && self.healthy(p));
+        let known = g.primary.is_some_and(|p| self.sendable(p, true) && self.servers[p].healthy(self.now));
         if known || g.scout.is_some() || self.now < g.scout_at || g.members.is_empty() {
             return;
         }
@@ -692,7 +680,9 @@
         let n = order.len();
         // A cold member is asked no more than it is read from: hundreds of routers look at once.
         let fit = |m: usize| {
-            self.healthy(m) && self.sendable(m, true) && self.lets_in(m, &self.requests[&id], false)
+            self.servers[m].healthy(self.now)
+                && self.sendable(m, true)
+                && self.lets_in(m, &self.requests[&id], false)
         };
         let found = (g.scout_next..n).find(|&k| fit(order[k]));
         let (next, target) = (found.map_or(n, |k| k + 1), found.map(|k| order[k]));
@@ -852,7 +842,8 @@
             let due = s.probed_at.is_none_or(|t| t + PROBE_GAP <= self.now && tightest < Micros::MAX);
             // Where answers tell positions, one that answers, or is still cold, need not be asked.
             let quiet = s.in_flight == 0 && s.last_answer + PROBE_GAP <= self.now;
-            let fit = self.blind() || (quiet && self.cold_share(*i).is_none());
+            let fit =
+                self.blind() || (quiet && self.servers[*i].cold_share(self.now, &self.set.safety).is_none());
             s.listed == Listed::Ready && behind && due && fit
         };
         let mut due: Vec<usize> = (0..self.servers.len()).filter(due).collect();
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
 use config::Config;
 use futures_lite::{StreamExt, future};
 use net::client::Clients;
+use net::console::Console;
 use net::core::Core;
 use net::discovery;
 use net::hosts::Hosts;
@@ -44,14 +45,20 @@
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let listener = Async::<TcpListener>::bind(config.listen)
         .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?;
+    let door = config.console.map(Async::<TcpListener>::bind).transpose();
+    let door = door.map_err(|e| format!("console: cannot listen there: {e}"))?;
     let drain_grace = config.settings.safety.drain_grace;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let (core, todo) = Core::new(config.settings.clone(), config.dialect.clone(), config.seed);
     let core = Rc::new(core);
     let hosts = Rc::new(Hosts::new(core.clone(), config.most_host_connections, drain_grace));
     let (most, bytes) = (config.most_clients, config.most_client_bytes);
-    let clients = Clients::new(core.clone(), hosts.clone(), most, bytes, config.way_back);
+    let clients = Clients::new(core.clone(), hosts.clone(), most, bytes, config.way_back, executor.clone());
     let clients = Rc::new(clients);
+    if let Some(door) = door {
+        let console = Rc::new(Console::new(core.clone(), clients.clone()));
+        executor.spawn(console.run(door, executor.clone())).detach();
+    }
 
     if let Some(known) = &config.known {
         hosts.listed(&core.list(known, true), known);
@@ -87,14 +94,15 @@
         }
     };
     executor.spawn(handle_signals).detach();
-    future::or(clients.accept(&listener, executor), async { _ = stopped.recv().await }).await;
+    future::or(clients.accept(&listener), async { _ = stopped.recv().await }).await;
+    clients.stop();
     eprintln!("sillfold: {name} stops");
     // Clients go on coming for a while, and are served as ever.
     let lingered = async {
         Timer::after(linger).await;
     };
-    future::or(clients.accept(&listener, executor), lingered).await;
-    clients.accept_rest(&listener, executor);
+    future::or(clients.accept(&listener), lingered).await;
+    clients.accept_rest(&listener);
     drop(listener);
     let latest = Instant::now() + Duration::from_micros(longest) + STOP_SLACK;
     if net::by(latest, clients.close()).await.is_none() {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -38,6 +38,11 @@
 const SILENT: Duration = Duration::from_millis(50);
 /// For how long a newcomer may have to wait for a place that is being given up.
 const GIVE_UP: Duration = Duration::from_millis(100);
+/// After the start of a drain, connections are closed behind their answers from the first of these
+/// on, in which the front learns to turn away, and at rest from the second on. Guards against a close
+/// that catches a request on its way: whoever asks often is gone by then.
+const DRAIN_ANSWERED: Duration = Duration::from_millis(500);
+const DRAIN_AT_REST: Duration = Duration::from_millis(1_500);
 /// A client that takes nothing of an answer for this long is given up.
 const STUCK: Duration = Duration::from_millis(2_500);
 /// After a last message the connection is closed once the client has sent nothing for this long, or
@@ -70,8 +75,12 @@
     bytes: Rc<Cell<usize>>,
     waiting: RefCell<Waiting>,
     ids: RefCell<Ids>,
-    /// Closed once no idle connection is to be kept.
-    closing: (Sender<()>, Receiver<()>),
+    /// Closed once no idle connection is to be kept; a drain that is called off puts a new one in place.
+    closing: RefCell<(Sender<()>, Receiver<()>)>,
+    /// Since when the proxy drains.
+    draining: Cell<Option<Instant>>,
+    stopping: Cell<bool>,
+    executor: Rc<LocalExecutor<'static>>,
     /// Told whenever a connection has ended.
     ended: (Sender<()>, Receiver<()>),
 }
@@ -162,10 +171,11 @@
 impl Clients {
     pub fn new(
         core: Rc<Core>, hosts: Rc<Hosts>, most: usize, most_bytes: usize, way_back: Micros,
+        executor: Rc<LocalExecutor<'static>>,
     ) -> Clients {
         let (open, refusing, bytes) = (Rc::default(), Rc::default(), Rc::default());
         let (waiting, ids) = (RefCell::default(), RefCell::default());
-        let (closing, ended) = (async_channel::bounded(1), async_channel::bounded(1));
+        let (closing, ended) = (RefCell::new(async_channel::bounded(1)), async_channel::bounded(1));
         Clients {
             core,
             hosts,
@@ -178,19 +188,20 @@
             waiting,
             ids,
             closing,
+            draining: Cell::new(None),
+            stopping: Cell::new(false),
+            executor,
             ended,
         }
     }
 
     /// Accepts for as long as the future is kept.
-    pub async fn accept(
-        self: &Rc<Clients>, listener: &Async<TcpListener>, executor: &LocalExecutor<'static>,
-    ) {
+    pub async fn accept(self: &Rc<Clients>, listener: &Async<TcpListener>) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     self.make_room().await;
-                    self.begin(stream, executor);
+                    self.begin(stream);
                     // It takes its seat before the next one may have to ask for a place.
                     future::yield_now().await;
                 }
@@ -203,10 +214,10 @@
     }
 
     /// Takes what the machine has accepted already: those clients think they are connected.
-    pub fn accept_rest(self: &Rc<Clients>, listener: &Async<TcpListener>, executor: &LocalExecutor<'static>) {
+    pub fn accept_rest(self: &Rc<Clients>, listener: &Async<TcpListener>) {
         while let Ok((stream, _)) = listener.get_ref().accept() {
             match Async::new(stream) {
-                Ok(stream) => self.begin(stream, executor),
+                Ok(stream) => self.begin(stream),
                 Err(e) => eprintln!("clients: accepting: {e}"),
             }
         }
@@ -240,7 +251,7 @@
         }
     }
 
-    fn begin(self: &Rc<Clients>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
+    fn begin(self: &Rc<Clients>, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
         let refused = self.open.get() >= self.most;
         let (count, most) = if refused { (&self.refusing, REFUSALS) } else { (&self.open, self.most) };
@@ -265,7 +276,7 @@
                 session.farewell().await;
             }
         };
-        executor.spawn(task).detach();
+        self.executor.spawn(task).detach();
     }
 
     /// Takes an id for a request; nothing if it is another's.
@@ -288,9 +299,56 @@
         Seat { all: self, asked, key }
     }
 
+    /// Why the proxy is not ready to serve, if it is not.
+    pub fn unready(&self) -> Option<&'static str> {
+        match self.draining.get() {
+            _ if self.stopping.get() => Some("it stops"),
+            Some(_) => Some("it drains"),
+            None if !self.core.is_ready() => Some("no list of database hosts yet"),
+            None => None,
+        }
+    }
+
+    /// From now on the proxy is not ready, and its clients' connections end one by one.
+    pub fn drain(self: &Rc<Clients>) {
+        if self.draining.get().is_some() {
+            return;
+        }
+        let since = Instant::now();
+        self.draining.set(Some(since));
+        eprintln!("clients: draining");
+        let all = self.clone();
+        let at_rest = async move {
+            Timer::at(since + DRAIN_AT_REST).await;
+            if all.draining.get() == Some(since) {
+                all.closing.borrow().0.close();
+            }
+        };
+        self.executor.spawn(at_rest).detach();
+    }
+
+    /// Takes clients again.
+    pub fn undrain(&self) {
+        if self.draining.take().is_some() {
+            *self.closing.borrow_mut() = async_channel::bounded(1);
+            eprintln!("clients: draining no more");
+        }
+    }
+
+    /// Whether a connection is to end behind its answer.
+    fn answered_last(&self) -> bool {
+        self.draining.get().is_some_and(|since| since.elapsed() >= DRAIN_ANSWERED)
+    }
+
+    /// The program is about to end: it is not ready any more, and serves as ever.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
     /// Closes idle connections, and the others once they have been answered; returns when all are.
     pub async fn close(&self) {
-        self.closing.0.close();
+        self.stop();
+        self.closing.borrow().0.close();
         while self.open.get() > 0 {
             let _ = self.ended.1.recv().await;
         }
@@ -395,7 +453,10 @@
                 Frontend::Query(text) if text.trim().trim_end_matches(';').is_empty() => {
                     self.flush().await?;
                     self.all.core.ready().await;
-                    pg::put_empty_query(&mut self.out);
+                    match self.all.unready() {
+                        None => pg::put_empty_query(&mut self.out),
+                        Some(why) => self.error(code::CANNOT_CONNECT_NOW, why),
+                    }
                     pg::put_ready(&mut self.out);
                 }
                 Frontend::Query(text) => {
@@ -406,7 +467,7 @@
                             // The answers to commands before this one do not wait for its own.
                             self.flush().await?;
                             match self.serve(&call, &statement).await {
-                                Some(verdict) => self.put_verdict(verdict),
+                                Some(verdict) => self.put_verdict(call.class, verdict),
                                 None => return Ok(false),
                             }
                         }
@@ -451,10 +512,11 @@
                 Order::Withdraw => continue,
             };
             let sent = Instant::now();
+            let written = || core.count(call.class, |c| &mut c.backend_calls);
             // Whichever comes first; the others are dropped here, and with an attempt its connection:
             // it is closed before the module hears of it, so that no second copy can be out.
             let happened = future::or(
-                async { Happened::Ended(hosts.attempt(server, statement, until).await) },
+                async { Happened::Ended(hosts.attempt(server, statement, until, written).await) },
                 future::or(async { Happened::Ordered(ticket.order().await) }, async {
                     self.gone::<()>().await;
                     Happened::ClientGone
@@ -500,6 +562,7 @@
         let class = class
             .ok_or_else(|| error(code::UNDEFINED_OBJECT, format!("no class {:?} here", statement.class)))?;
         if !core.knows_servers() {
+            core.count(class, |c| &mut c.busy);
             return Err(error(code::CANNOT_CONNECT_NOW, "no database host is known yet".into()));
         }
         if !core.knows_group(statement.group) {
@@ -522,7 +585,12 @@
         Ok((call, statement, claim))
     }
 
-    fn put_verdict(&mut self, verdict: Verdict) {
+    fn put_verdict(&mut self, class: u8, verdict: Verdict) {
+        self.all.core.count(class, |c| match verdict {
+            Verdict::Served(_) => &mut c.success,
+            Verdict::Refused { .. } => &mut c.busy,
+            Verdict::Failed | Verdict::Rejected(_) => &mut c.failure,
+        });
         match verdict {
             Verdict::Served(row) => pg::put_row(&mut self.out, &row),
             Verdict::Refused { retry_in } => {
@@ -596,6 +664,9 @@
         self.flush().await?;
         let now = Instant::now();
         let resting = self.inbox.is_empty();
+        if resting && self.asked && self.all.answered_last() && self.nothing_came() {
+            return Ok(Came::End);
+        }
         if !resting {
             self.partial.get_or_insert(now);
         }
@@ -613,11 +684,14 @@
         let _seat = (resting || !self.asked).then(|| all.seat(self.asked, self.go.0.clone()));
         // Reading comes first: a request that is here already is still served.
         let read = async { Some(read(&self.stream, &mut self.inbox).await) };
+        // Whoever came that late hears its refusal, and rests no longer than others of its kind.
+        let late = self.all.draining.get().is_some_and(|since| self.begun > since + DRAIN_AT_REST);
         let closing = async {
-            if !resting {
+            if !resting || (late && !all.stopping.get()) {
                 future::pending::<()>().await;
             }
-            let _ = all.closing.1.recv().await;
+            let closing = all.closing.borrow().1.clone();
+            let _ = closing.recv().await;
             None
         };
         let asked_to_go = async {
@@ -633,6 +707,11 @@
         }
     }
 
+    /// Whether nothing waits to be read. Guards against a close on a request that is here already.
+    fn nothing_came(&self) -> bool {
+        matches!(self.stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Whether what this client has sent, beside what all others have, fits into the memory.
     fn affordable(&mut self) -> bool {
         self.share.set(self.inbox.held().saturating_sub(OWN_BYTES));
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,5 +1,5 @@
 //! The core: the decision module among events. It owns the `Router`, the clock, the module's
-//! timers, the names behind its numbers and each request's mailbox. It turns what happened into
+//! timers, the names behind its numbers, each request's mailbox and the figures. It turns what happened into
 //! the module's events and the module's actions into messages to whoever carries them out. It must
 //! never touch a socket, name a message of any protocol, or decide anything itself.
 
@@ -7,6 +7,7 @@
 use async_channel::{Receiver, Sender, TryRecvError, unbounded};
 use async_io::Timer;
 use futures_lite::future;
+use serde::Serialize;
 use sillfold::settings::Dialect;
 use sillfold::{
     Action, Arrival, Entry, Event, GroupId, ListKind, Listed, Micros, Outcome, Report, RequestId, Returned,
@@ -99,6 +100,26 @@
     pub note: Report,
 }
 
+/// What is counted of a class since the start, whatever protocol brought its requests.
+#[derive(Clone, Default, Serialize)]
+pub struct Calls {
+    pub success: u64,
+    pub busy: u64,
+    pub failure: u64,
+    /// Attempts written whole to database hosts.
+    pub backend_calls: u64,
+}
+
+/// What operators are told.
+#[derive(Serialize)]
+pub struct Figures {
+    calls: BTreeMap<String, Calls>,
+    backend_calls: u64,
+    inflight: usize,
+    hosts_listed: usize,
+    hosts_down: usize,
+}
+
 struct Open {
     orders: Sender<Order>,
     give_up_at: Micros,
@@ -116,6 +137,7 @@
     /// Those that have left the list, and when.
     left: BTreeMap<ServerId, Micros>,
     groups: BTreeSet<GroupId>,
+    calls: Vec<Calls>,
 }
 
 /// Owner of the decision module.
@@ -145,6 +167,7 @@
             ids: BTreeMap::new(),
             left: BTreeMap::new(),
             groups: BTreeSet::new(),
+            calls: vec![Calls::default(); dialect.classes.len()],
         };
         let core = Core {
             clock: Clock::start(),
@@ -162,14 +185,39 @@
     /// list of before will have to do.
     pub async fn ready(&self) {
         let old_list = async {
-            Timer::after(SILENT).await;
-            if !self.knows_servers() {
+            Timer::at(self.clock.started + SILENT).await;
+            if !self.is_ready() {
                 future::pending::<()>().await;
             }
         };
         future::or(async { _ = self.listed.1.recv().await }, old_list).await;
     }
 
+    /// Whether `ready` returns at once.
+    pub fn is_ready(&self) -> bool {
+        self.listed.0.is_closed() || (self.knows_servers() && self.clock.started.elapsed() >= SILENT)
+    }
+
+    /// Counts something of a class.
+    pub fn count(&self, class: u8, what: impl FnOnce(&mut Calls) -> &mut u64) {
+        if let Some(calls) = self.inner.borrow_mut().calls.get_mut(usize::from(class)) {
+            *what(calls) += 1;
+        }
+    }
+
+    /// The figures of this moment. Every class is there from the start.
+    pub fn figures(&self) -> Figures {
+        let inner = self.inner.borrow();
+        let (hosts_listed, hosts_down) = inner.router.hosts();
+        Figures {
+            calls: self.dialect.classes.iter().cloned().zip(inner.calls.iter().cloned()).collect(),
+            backend_calls: inner.calls.iter().map(|c| c.backend_calls).sum(),
+            inflight: inner.open.len(),
+            hosts_listed,
+            hosts_down,
+        }
+    }
+
     /// Whether any list has named this group.
     pub fn knows_group(&self, group: GroupId) -> bool {
         self.inner.borrow().groups.contains(&group)
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -137,7 +137,10 @@
 
     /// One attempt, from the choice of a connection to the answer. It ends at `until` at the latest;
     /// dropping the future closes the connection, which withdraws the attempt.
-    pub async fn attempt(&self, server: ServerId, statement: &Statement, until: Micros) -> Attempted {
+    /// `written` is called once the last byte is.
+    pub async fn attempt(
+        &self, server: ServerId, statement: &Statement, until: Micros, written: impl FnOnce(),
+    ) -> Attempted {
         let deadline = self.core.clock.instant(until);
         let begun = Instant::now();
         let dialled = (begun + self.dial_timeout).min(deadline);
@@ -160,7 +163,7 @@
         let mut query = Vec::new();
         pg::put_query(&mut query, &statement.with_patience(left));
         match by(deadline, connection.stream.write_all(&query)).await {
-            Some(Ok(())) => {}
+            Some(Ok(())) => written(),
             Some(Err(_)) => return Attempted::without_answer(Outcome::ConnectFailed),
             None => return Attempted::without_answer(Outcome::Timeout),
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,10 @@
-//! Everything that touches sockets, in four parts. `core` owns the decision module and time,
-//! `client` a request's life, `hosts` the connections to database hosts, `discovery` the list.
+//! Everything that touches sockets, in five parts. `core` owns the decision module, time and the
+//! figures, `client` a request's life, `hosts` the connections to database hosts, `discovery` the
+//! list, `console` the operators' door.
 //! This file holds only what they share; it must never decide nor keep state beyond a moment.
 
 pub mod client;
+pub mod console;
 pub mod core;
 pub mod discovery;
 pub mod hosts;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! Plain records that `logic.rs` keeps, and the bytes of peer messages. Nothing is decided here.
 
-use crate::api::{Entry, GroupId, Listed, Micros, Outcome, RequestId, ServerId};
+use crate::api::{Entry, GroupId, Listed, Micros, Outcome, RequestId, Safety, ServerId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// What this router knows of one server.
@@ -87,6 +87,23 @@
         self.wait = averaged(self.wait, over.max(0.0), old);
     }
 
+    /// Whether it may be tried: after an ejection one attempt at a time until one is served.
+    pub fn healthy(&self, now: Micros) -> bool {
+        now >= self.ejected_until && (self.strikes == 0 || self.in_flight == 0)
+    }
+
+    pub fn has_room(&self, now: Micros) -> bool {
+        now >= self.full_until && f64::from(self.in_flight) < self.limit
+    }
+
+    /// Its present share of its full capacity, while it is cold.
+    pub fn cold_share(&self, now: Micros, safety: &Safety) -> Option<f64> {
+        let age = now.saturating_sub(self.started?) as f64;
+        let rise = age / safety.cold.max(1) as f64;
+        let start = safety.start_capacity;
+        (rise < 1.0).then(|| (start + (1.0 - start) * rise).clamp(0.01, 1.0))
+    }
+
     /// Forgets what an earlier process showed; the present one started at this time.
     pub fn restarted(&mut self, at: Micros) {
         self.started = Some(at);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Scripted peers on loopback sockets: discovery's agent, database hosts, clients, and the program
 //! among them. Everything a peer sees is an event that a test waits for; nothing here sleeps.
+#![allow(dead_code, reason = "each file of stories uses its part of the peers")]
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
@@ -27,8 +28,9 @@
 "safety":{"drainGraceUs":500000,"startCapacity":0.2,"coldUs":15000000,"tipMultiple":3.0,
 "overloadForUs":1000000,"askWithinUs":10000000}}"#;
 
-/// The port on which the program listens, at an address of its own.
+/// The ports on which the program listens, at an address of its own.
 const PORT: u16 = 20433;
+const CONSOLE_PORT: u16 = 20480;
 
 /// A loopback address that nothing else uses. A port is never bound twice: a child that another test
 /// is just starting holds a copy of every listener until it runs its program.
@@ -232,6 +234,7 @@
 pub struct Proxy {
     child: Child,
     pub address: SocketAddr,
+    pub console: SocketAddr,
     pub agent: Agent,
     log: Receiver<String>,
     config: String,
@@ -243,6 +246,17 @@
     pub fn start(known: &[&Host], sockets: u32) -> Proxy {
         Proxy::start_with(known, sockets, |config| config)
     }
+    /// The same, with a door for operators.
+    pub fn with_console(known: &[&Host], sockets: u32) -> Proxy {
+        Proxy::start_with(known, sockets, |config| {
+            let listen = config
+                .split('"')
+                .nth(7)
+                .expect("the address")
+                .replace(&PORT.to_string(), &CONSOLE_PORT.to_string());
+            config.replacen('{', &format!("{{\"console\":\"{listen}\","), 1)
+        })
+    }
     /// The same, on a configuration that has been changed.
     pub fn start_with(known: &[&Host], sockets: u32, change: impl Fn(String) -> String) -> Proxy {
         let agent = Agent::start();
@@ -264,7 +278,8 @@
                 let _ = tell.send(line);
             }
         });
-        let proxy = Proxy { child, address, agent, log: lines, config, path };
+        let console = SocketAddr::new(address.ip(), CONSOLE_PORT);
+        let proxy = Proxy { child, address, console, agent, log: lines, config, path };
         proxy.logged("serves on");
         proxy
     }
@@ -278,6 +293,16 @@
         assert_eq!(client.answer().end, End::Ready);
         client
     }
+    /// One call of an operator: the status, and what is said.
+    pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        call(
+            self.console,
+            format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()),
+        )
+    }
+    pub fn figures(&self) -> serde_json::Value {
+        serde_json::from_str(&self.call("GET", "/ops/stats", "").1).expect("JSON")
+    }
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("kill").success());
@@ -307,6 +332,17 @@
     }
 }
 
+/// Sends an operator's call as it stands and reads the answer to its end.
+pub fn call(console: SocketAddr, text: String) -> (u16, String) {
+    let mut stream = TcpStream::connect(console).expect("the door is open");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    stream.write_all(text.as_bytes()).expect("the program reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    let status = answer.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+    (status, answer.split_once("\r\n\r\n").expect("a body").1.to_string())
+}
+
 /// Starts the program on a configuration, whose file is returned too.
 pub fn program(config: &str, env: &[(&str, &str)]) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -314,7 +350,7 @@
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("the configuration is written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_sillfold"));
-    for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
+    for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONSOLE"] {
         command.env_remove(key);
     }
     command.envs(env.iter().copied()).env("LB_CONFIG", &path).stderr(Stdio::piped());
