Run two versions side by side, and leave hosts out by hand across an upgrade

Cause: main.rs bound the address alone, and nothing knew of hosts out by hand. Now SO_REUSEPORT from the first start on, the new process listens once hosts can be used, the old one hands over in order (net/upgrade.rs); the module keeps hosts out by hand beside the listing, a file each keeps them in TMPDIR.

--- a/src/api.rs
+++ b/src/api.rs
@@ -333,6 +333,15 @@
         /// Its report.
         report: Report,
     },
+    /// Operators leave a server out, or use it again, as of this time.
+    ByHand {
+        /// The server.
+        server: ServerId,
+        /// Whether it is out from then on.
+        out: bool,
+        /// Since when; the server started at that time at the latest where it is used again.
+        since: Micros,
+    },
     /// A message from another router.
     Peer {
         /// The sender's number.
--- a/src/config.rs
+++ b/src/config.rs
@@ -14,6 +14,7 @@
 use sillfold::{Micros, Settings};
 use std::env;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Descriptors kept for the listener, discovery, signals, the log and the runtime.
@@ -39,6 +40,8 @@
     pub discovery: SocketAddr,
     /// Where operators call; none, no door.
     pub console: Option<SocketAddr>,
+    /// Where what outlasts an upgrade is kept: `TMPDIR`.
+    pub tmp: Option<PathBuf>,
     pub seed: u64,
     /// The list as this proxy last had it, maybe old.
     pub known: Option<Listing>,
@@ -155,6 +158,7 @@
             listen,
             discovery,
             console,
+            tmp: var("TMPDIR").filter(|t| !t.is_empty()).map(PathBuf::from),
             seed,
             known: known.transpose()?,
             settings,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -104,6 +104,8 @@
     classes: Vec<ClassState>,
     requests: BTreeMap<RequestId, Request>,
     sessions: Sessions,
+    /// Servers that operators leave out, and since when; no news of the list touches it.
+    out_by_hand: BTreeMap<ServerId, Micros>,
     mean: f64,
     tokens: f64,
     probes: f64,
@@ -128,6 +130,7 @@
             groups: BTreeMap::new(),
             requests: BTreeMap::new(),
             sessions: Sessions::default(),
+            out_by_hand: BTreeMap::new(),
             mean: 0.0,
             tokens: RETRY_MAX,
             probes: 1.0,
@@ -162,6 +165,7 @@
                 }
                 Event::Probed { server, ok: true, report } => self.report(*server, *report, false),
                 Event::Probed { .. } | Event::Timer(_) => {}
+                Event::ByHand { server, out, since } => self.by_hand(*server, *out, *since),
                 Event::Peer { bytes, .. } => self.heard(bytes),
                 Event::List { kind, entries } => self.list(*kind, entries),
             }
@@ -195,10 +199,12 @@
     /// Whether the list lets this router send to a server.
     fn sendable(&self, i: usize, primary_work: bool) -> bool {
         let s = &self.servers[i];
+        // Until a successor is known writes may still go there, well inside the grace.
+        let spared = |told: Micros| primary_work && self.now - told < self.set.safety.drain_grace / 2;
         match s.listed {
+            _ if self.out_since(s.id).is_some_and(|since| !spared(since.min(self.now))) => false,
             Listed::Ready => true,
-            // Until a successor is known writes may still go there, well inside the grace.
-            Listed::Draining => primary_work && self.now - s.told_at < self.set.safety.drain_grace / 2,
+            Listed::Draining => spared(s.told_at),
             Listed::Gone => self.set.safety.only_draining_binds && !s.seen_draining,
         }
     }
@@ -206,7 +212,28 @@
     /// How many servers are listed, and how many of them get nothing, or only one attempt to see.
     pub fn hosts(&self) -> (usize, usize) {
         let listed = || self.servers.iter().filter(|s| s.listed != Listed::Gone);
-        (listed().count(), listed().filter(|s| s.listed == Listed::Draining || s.strikes > 0).count())
+        let avoided =
+            |s: &&Server| s.listed == Listed::Draining || s.strikes > 0 || self.out_since(s.id).is_some();
+        (listed().count(), listed().filter(avoided).count())
+    }
+
+    /// Since when operators leave a server out, if they do.
+    pub fn out_since(&self, server: ServerId) -> Option<Micros> {
+        self.out_by_hand.get(&server).copied()
+    }
+
+    /// The rule on drains binds from the first call out until the call back; then the server is cold.
+    fn by_hand(&mut self, server: ServerId, out: bool, since: Micros) {
+        if out {
+            self.out_by_hand.entry(server).or_insert(since);
+            self.out.push(Action::CloseIdle(server));
+            return;
+        }
+        self.out_by_hand.remove(&server);
+        let Some(&i) = self.index.get(&server) else { return };
+        if since.saturating_add(self.set.safety.cold) > self.now {
+            self.servers[i].used_again(since, LIMIT);
+        }
     }
 
     /// Slow start without sight of the other routers: each request drew a lot, and a cold server is open to
@@ -325,16 +352,6 @@
 
     // ---- Request lifecycle ----
 
-    /// Until when an answer is worth anything.
-    fn useful_until(&self, r: &Request) -> Micros {
-        let c = &self.set.classes[r.class];
-        if c.aim_stretch <= 0.0 && (c.late_worth <= 0.0 || (r.held && c.late_worth < 0.5)) {
-            r.give_up_at.min(r.arrived.saturating_add(c.aim))
-        } else {
-            r.give_up_at
-        }
-    }
-
     /// Whether the rules allow another attempt now.
     fn may_send(&self, r: &Request) -> bool {
         if r.closed || r.streaming.is_some() || r.attempts.len() >= self.set.limits.max_attempts {
@@ -381,7 +398,7 @@
 
     fn dispatch(&mut self, id: RequestId) {
         let Some(r) = self.requests.remove(&id) else { return };
-        let until = self.useful_until(&r);
+        let until = r.useful_until(&self.set.classes[r.class]);
         // Even a quick answer takes a part of the usual time, and the next look comes with a tick.
         let quick = (self.classes[r.class].p50 / 2.0) as u64;
         let open = self.may_send(&r) && self.now + quick.max(2 * TICK) < until;
@@ -402,7 +419,7 @@
 
     fn send(&mut self, id: RequestId, i: usize) {
         let Some(r) = self.requests.get(&id) else { return };
-        let until = self.useful_until(r);
+        let until = r.useful_until(&self.set.classes[r.class]);
         let timeout = if until < r.give_up_at { until.saturating_sub(self.now).max(1) } else { 0 };
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.held = false;
@@ -748,17 +765,8 @@
 
     /// The age of what is out counts in the score before a sample does: a standstill shows at once.
     fn age(&mut self) {
-        for s in &mut self.servers {
-            s.pending = 0.0;
-            s.count(Q_OLD);
-        }
-        for r in self.requests.values() {
-            let scale = self.scale(r.class);
-            for a in r.attempts.iter().filter(|a| a.outcome.is_none()) {
-                let s = &mut self.servers[a.server];
-                s.pending = s.pending.max((self.now - a.sent) as f64 * scale);
-            }
-        }
+        let scales: Vec<f64> = (0..self.classes.len()).map(|c| self.scale(c)).collect();
+        age(&mut self.servers, &self.requests, &scales, self.now, Q_OLD);
     }
 
     // ---- List, probes, peers ----
@@ -844,7 +852,7 @@
             let quiet = s.in_flight == 0 && s.last_answer + PROBE_GAP <= self.now;
             let fit =
                 self.blind() || (quiet && self.servers[*i].cold_share(self.now, &self.set.safety).is_none());
-            s.listed == Listed::Ready && behind && due && fit
+            s.listed == Listed::Ready && self.out_since(s.id).is_none() && behind && due && fit
         };
         let mut due: Vec<usize> = (0..self.servers.len()).filter(due).collect();
         // Longest unasked first; each router begins elsewhere.
@@ -865,16 +873,7 @@
         if room == 0 || peers == 0.0 || !self.set.limits.peers {
             return;
         }
-        let fresh = |i: &usize| self.servers[*i].position > Some(self.servers[*i].told_peers);
-        let mut untold: Vec<usize> = (0..self.servers.len()).filter(fresh).collect();
-        untold.sort_by_key(|&i| self.servers[i].told_peers);
-        let mut bytes = Vec::new();
-        for i in untold.into_iter().take(room) {
-            let s = &mut self.servers[i];
-            s.told_peers = s.position.unwrap_or(0);
-            let primary = self.groups.get(&s.group).is_some_and(|g| g.primary == Some(i));
-            put_line(&mut bytes, s.id, s.told_peers, primary);
-        }
+        let bytes = news(&mut self.servers, &self.groups, room);
         self.chat -= bytes.len() as f64 * peers;
         self.out.extend((!bytes.is_empty()).then_some(Action::TellAll(bytes)));
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,13 +19,16 @@
 use net::core::Core;
 use net::discovery;
 use net::hosts::Hosts;
+use net::upgrade::Upgrade;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Beyond the longest wait of a client, how long a stop may take.
+/// Beyond the linger and the longest wait of a client, how long a stop may take; and the longest wait
+/// that counts, since SIGKILL comes 0.7 s after it at the soonest.
 const STOP_SLACK: Duration = Duration::from_millis(150);
+const LONGEST_STOP: Duration = Duration::from_secs(3);
 
 fn main() -> ExitCode {
     let executor = Rc::new(LocalExecutor::new());
@@ -43,8 +46,8 @@
     // Before anything can be asked of the program, so that no early SIGTERM kills it outright.
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
-    let listener = Async::<TcpListener>::bind(config.listen)
-        .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?;
+    let socket =
+        net::bind(config.listen).map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?;
     let door = config.console.map(Async::<TcpListener>::bind).transpose();
     let door = door.map_err(|e| format!("console: cannot listen there: {e}"))?;
     let drain_grace = config.settings.safety.drain_grace;
@@ -55,14 +58,17 @@
     let (most, bytes) = (config.most_clients, config.most_client_bytes);
     let clients = Clients::new(core.clone(), hosts.clone(), most, bytes, config.way_back, executor.clone());
     let clients = Rc::new(clients);
-    if let Some(door) = door {
-        let console = Rc::new(Console::new(core.clone(), clients.clone()));
-        executor.spawn(console.run(door, executor.clone())).detach();
-    }
 
     if let Some(known) = &config.known {
         hosts.listed(&core.list(known, true), known);
     }
+    let upgrade = Upgrade::new(config.tmp.clone(), core.clone(), clients.clone(), hosts.clone());
+    let upgrade = Rc::new(upgrade);
+    if let Some(door) = door {
+        let console = Rc::new(Console::new(core.clone(), clients.clone(), upgrade.clone()));
+        executor.spawn(console.run(door, executor.clone())).detach();
+    }
+    upgrade.meet(executor);
     let known = config.known.take().map(|k| k.index);
     executor.spawn(hosts.clone().run_chores(todo, executor.clone())).detach();
     executor
@@ -79,9 +85,12 @@
         .detach();
     let (moves, moved) = async_channel::unbounded();
     let discovery = config.discovery;
-    executor.spawn(async move { discovery::run(discovery, moved, known, &core, &hosts).await }).detach();
-    eprintln!("sillfold: {} serves on {}", config.name, config.listen);
-    let (name, linger) = (config.name.clone(), config.linger);
+    let watch = {
+        let core = core.clone();
+        async move { discovery::run(discovery, moved, known, &core, &hosts).await }
+    };
+    executor.spawn(watch).detach();
+    let (name, linger, address) = (config.name.clone(), config.linger, config.listen);
 
     // A task of its own, so that a SIGHUP during the stop is still a reload and not the program's end.
     let (stop, stopped) = async_channel::bounded(1);
@@ -94,17 +103,42 @@
         }
     };
     executor.spawn(handle_signals).detach();
+    // Beside another version no client comes here before it can be served.
+    let ready = async {
+        if upgrade.accompanied() {
+            future::or(core.ready(), upgrade.alone()).await;
+        }
+        true
+    };
+    let stop_early = async {
+        let _ = stopped.recv().await;
+        false
+    };
+    if !future::or(ready, stop_early).await {
+        return Ok(());
+    }
+    let listener = net::listen(socket).map_err(|e| format!("listen: cannot listen on {address}: {e}"))?;
+    eprintln!("sillfold: {name} serves on {address}");
     future::or(clients.accept(&listener), async { _ = stopped.recv().await }).await;
+    let latest = Instant::now() + linger + Duration::from_micros(longest).min(LONGEST_STOP) + STOP_SLACK;
     clients.stop();
     eprintln!("sillfold: {name} stops");
-    // Clients go on coming for a while, and are served as ever.
     let lingered = async {
         Timer::after(linger).await;
     };
-    future::or(clients.accept(&listener), lingered).await;
-    clients.accept_rest(&listener);
-    drop(listener);
-    let latest = Instant::now() + Duration::from_micros(longest) + STOP_SLACK;
+    if upgrade.relieved() {
+        // The other version takes whoever comes. Connections end behind their answers first: guards
+        // against a close that catches a request on its way.
+        clients.relieve();
+        clients.accept_rest(&listener);
+        drop(listener);
+        lingered.await;
+    } else {
+        // Clients go on coming for a while, and are served as ever.
+        future::or(clients.accept(&listener), lingered).await;
+        clients.accept_rest(&listener);
+        drop(listener);
+    }
     if net::by(latest, clients.close()).await.is_none() {
         eprintln!("sillfold: {name} stops with clients that would not end");
     }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -9,7 +9,8 @@
 
 use super::core::{Call, Clock, Core, Ending, Order, fnv1a};
 use super::hosts::{Attempted, Hosts};
-use super::{by, complain, read, read_with};
+use super::upgrade::Held;
+use super::{Budget, by, complain, read, read_with};
 use crate::pg::{self, ErrorFields, Frontend, Inbox, Row, Startup, Statement, code};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -51,6 +52,11 @@
 const LONGEST_FAREWELL: Duration = Duration::from_secs(3);
 /// Connections past the limit that may hear a refusal at the same time.
 const REFUSALS: usize = 16;
+/// Descriptors that another process needs beside those of its clients and hosts.
+const OTHER_PROCESS: usize = 32;
+/// A connection that never asked anything is given this long when all are closed: what the client
+/// wrote behind its startup message may be on its way.
+const UNASKED: Duration = Duration::from_millis(200);
 /// The wait after a failed accept, so that a full table of descriptors does not make the loop spin.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
 /// The longest wait that is believed of a client.
@@ -64,9 +70,9 @@
 pub struct Clients {
     core: Rc<Core>,
     hosts: Rc<Hosts>,
-    most: usize,
+    most: Budget,
     /// What all clients together may have sent and not been answered, in bytes.
-    most_bytes: usize,
+    most_bytes: Budget,
     way_back: Micros,
     open: Rc<Cell<usize>>,
     /// Connections past the limit that are hearing so. Guards against their farewells taking the
@@ -80,6 +86,10 @@
     /// Since when the proxy drains.
     draining: Cell<Option<Instant>>,
     stopping: Cell<bool>,
+    /// Whether clients are taken: a new version begins with it once it can serve.
+    listening: Cell<bool>,
+    /// Another version takes clients in this one's stead.
+    relieved: Cell<bool>,
     executor: Rc<LocalExecutor<'static>>,
     /// Told whenever a connection has ended.
     ended: (Sender<()>, Receiver<()>),
@@ -179,8 +189,8 @@
         Clients {
             core,
             hosts,
-            most,
-            most_bytes,
+            most: Budget::new(most),
+            most_bytes: Budget::new(most_bytes),
             way_back,
             open,
             refusing,
@@ -190,6 +200,8 @@
             closing,
             draining: Cell::new(None),
             stopping: Cell::new(false),
+            listening: Cell::new(false),
+            relieved: Cell::new(false),
             executor,
             ended,
         }
@@ -197,6 +209,7 @@
 
     /// Accepts for as long as the future is kept.
     pub async fn accept(self: &Rc<Clients>, listener: &Async<TcpListener>) {
+        self.listening.set(true);
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -226,7 +239,7 @@
     /// Where all places are taken, asks for that of whoever has been silent, or idle, for longest.
     /// Guards against connections that only stand there keeping out clients that want something.
     async fn make_room(&self) {
-        if self.open.get() < self.most {
+        if self.open.get() < self.most.get() {
             return;
         }
         let since = |asked| self.waiting.borrow_mut().of(asked).keys().next().map(|k| k.0);
@@ -243,7 +256,7 @@
         let asked = self.waiting.borrow_mut().of(idle).pop_first();
         if asked.is_some_and(|(_, go)| go.try_send(()).is_ok()) {
             let left = async {
-                while self.open.get() >= self.most {
+                while self.open.get() >= self.most.get() {
                     let _ = self.ended.1.recv().await;
                 }
             };
@@ -253,8 +266,8 @@
 
     fn begin(self: &Rc<Clients>, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
-        let refused = self.open.get() >= self.most;
-        let (count, most) = if refused { (&self.refusing, REFUSALS) } else { (&self.open, self.most) };
+        let refused = self.open.get() >= self.most.get();
+        let (count, most) = if refused { (&self.refusing, REFUSALS) } else { (&self.open, self.most.get()) };
         if refused {
             // At once, whatever the client says: it fits into any new connection's buffer.
             let mut out = Vec::new();
@@ -304,6 +317,7 @@
         match self.draining.get() {
             _ if self.stopping.get() => Some("it stops"),
             Some(_) => Some("it drains"),
+            None if !self.listening.get() => Some("it takes no clients yet"),
             None if !self.core.is_ready() => Some("no list of database hosts yet"),
             None => None,
         }
@@ -337,7 +351,7 @@
 
     /// Whether a connection is to end behind its answer.
     fn answered_last(&self) -> bool {
-        self.draining.get().is_some_and(|since| since.elapsed() >= DRAIN_ANSWERED)
+        self.relieved.get() || self.draining.get().is_some_and(|since| since.elapsed() >= DRAIN_ANSWERED)
     }
 
     /// The program is about to end: it is not ready any more, and serves as ever.
@@ -345,6 +359,23 @@
         self.stopping.set(true);
     }
 
+    /// Another version takes clients: connections end behind their answers from now on.
+    pub fn relieve(&self) {
+        self.relieved.set(true);
+    }
+
+    /// Connections that are open, and bytes that their clients have sent.
+    pub fn held(&self) -> (usize, usize) {
+        (self.open.get(), self.bytes.get())
+    }
+
+    /// Another process holds so much of the limits, or none does any more.
+    pub fn share(&self, other: Option<Held>) {
+        let ((open, bytes), own) = (self.held(), other.map(|o| (o.clients + OTHER_PROCESS, o.bytes)));
+        self.most.share(open, own.map(|o| o.0));
+        self.most_bytes.share(bytes, own.map(|o| o.1));
+    }
+
     /// Closes idle connections, and the others once they have been answered; returns when all are.
     pub async fn close(&self) {
         self.stop();
@@ -673,12 +704,12 @@
         let until = match self.partial {
             _ if !self.spoken => self.begun + PROMPT,
             Some(since) => since + PROMPT,
-            None if !self.asked || self.all.waiting.borrow().idle.len() > self.all.most / CROWDED => {
+            None if !self.asked || self.all.waiting.borrow().idle.len() > self.all.most.get() / CROWDED => {
                 now + IDLE_CROWDED
             }
             None => now + IDLE,
         };
-        let (all, go) = (self.all, self.go.1.clone());
+        let (all, go, asked) = (self.all, self.go.1.clone(), self.asked);
         // Asked to go in an earlier wait, which ended by itself.
         let _ = go.try_recv();
         let _seat = (resting || !self.asked).then(|| all.seat(self.asked, self.go.0.clone()));
@@ -692,6 +723,9 @@
             }
             let closing = all.closing.borrow().1.clone();
             let _ = closing.recv().await;
+            if !asked {
+                Timer::after(UNASKED).await;
+            }
             None
         };
         let asked_to_go = async {
@@ -715,7 +749,7 @@
     /// Whether what this client has sent, beside what all others have, fits into the memory.
     fn affordable(&mut self) -> bool {
         self.share.set(self.inbox.held().saturating_sub(OWN_BYTES));
-        self.share.mine == 0 || self.all.bytes.get() <= self.all.most_bytes
+        self.share.mine == 0 || self.all.bytes.get() <= self.all.most_bytes.get()
     }
 
     /// Returns nothing once the client has closed its connection. What it sends meanwhile is kept,
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -4,11 +4,13 @@
 
 use super::client::Clients;
 use super::core::Core;
+use super::upgrade::Upgrade;
 use super::{by, complain, read_with};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, future};
+use serde::Deserialize;
 use serde_json::json;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -33,6 +35,7 @@
 pub struct Console {
     core: Rc<Core>,
     clients: Rc<Clients>,
+    upgrade: Rc<Upgrade>,
     callers: RefCell<BTreeMap<u64, Sender<()>>>,
 }
 
@@ -49,6 +52,7 @@
 struct Call {
     method: String,
     path: String,
+    body: Vec<u8>,
 }
 
 /// What is answered: the status, and a JSON object.
@@ -59,8 +63,8 @@
 }
 
 impl Console {
-    pub fn new(core: Rc<Core>, clients: Rc<Clients>) -> Console {
-        Console { core, clients, callers: RefCell::default() }
+    pub fn new(core: Rc<Core>, clients: Rc<Clients>, upgrade: Rc<Upgrade>) -> Console {
+        Console { core, clients, upgrade, callers: RefCell::default() }
     }
 
     /// Takes calls for as long as the program runs.
@@ -120,10 +124,26 @@
         by(Instant::now() + TAKEN, future::or(last, async { _ = go.recv().await })).await;
     }
 
+    fn by_hand(&self, body: &[u8], out: bool) -> Answer {
+        let who = match serde_json::from_slice::<Who>(body) {
+            Ok(Who { who }) => who,
+            Err(e) => return no(400, format!("the body is no {{\"who\":\"ID\"}}: {e}")),
+        };
+        if !self.core.knows(&who) {
+            return no(404, format!("no database host is called {who:?}"));
+        }
+        match self.upgrade.by_hand(&who, out) {
+            Ok(()) => Answer(200, json!({"who": who, "down": out})),
+            Err(why) => no(500, why),
+        }
+    }
+
     fn answer(&self, call: &Call) -> Answer {
         let routes = [
             ("GET", "/ops/readiness"),
             ("GET", "/ops/stats"),
+            ("POST", "/ops/database-hosts/down"),
+            ("POST", "/ops/database-hosts/up"),
             ("POST", "/ops/drain/start"),
             ("POST", "/ops/drain/stop"),
         ];
@@ -143,6 +163,8 @@
                 Ok(figures) => Answer(200, figures),
                 Err(e) => no(500, e.to_string()),
             },
+            "/ops/database-hosts/down" => self.by_hand(&call.body, true),
+            "/ops/database-hosts/up" => self.by_hand(&call.body, false),
             "/ops/drain/start" => {
                 self.clients.drain();
                 Answer(200, json!({"draining": true}))
@@ -155,6 +177,12 @@
     }
 }
 
+/// The body of a call about one database host.
+#[derive(Deserialize)]
+struct Who {
+    who: String,
+}
+
 /// Reads one call; the error is what the caller is told instead.
 async fn read_call(stream: &Async<TcpStream>) -> Result<Call, Answer> {
     let mut bytes = Vec::new();
@@ -191,11 +219,9 @@
     if length > MOST_BODY {
         return Err(no(413, format!("a body of over {MOST_BODY} bytes")));
     }
-    if bytes.len() < len + length {
-        return Ok(None);
-    }
+    let Some(body) = bytes.get(len..len + length) else { return Ok(None) };
     let text = |t: Option<&str>| t.unwrap_or("").to_string();
-    Ok(Some(Call { method: text(head.method), path: text(head.path) }))
+    Ok(Some(Call { method: text(head.method), path: text(head.path), body: body.to_vec() }))
 }
 
 fn reason(status: u16) -> &'static str {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -228,6 +228,29 @@
         !self.inner.borrow().ids.is_empty()
     }
 
+    /// Whether a list names this database host, or did so lately, or operators leave it out.
+    pub fn knows(&self, name: &str) -> bool {
+        self.inner.borrow().ids.contains_key(name)
+    }
+
+    /// Operators leave a database host out, or use it again. A name that no list holds yet is kept for
+    /// when one does.
+    pub fn by_hand(&self, name: &str, out: bool, since: Micros) {
+        let server = self.inner.borrow_mut().number(name);
+        self.feed(Event::ByHand { server, out, since });
+    }
+
+    /// Whether operators leave a database host out.
+    pub fn is_out(&self, name: &str) -> bool {
+        let inner = self.inner.borrow();
+        inner.ids.get(name).is_some_and(|id| inner.router.out_since(*id).is_some())
+    }
+
+    /// Since when operators leave a database host out, if they do.
+    pub fn out_since(&self, server: ServerId) -> Option<Micros> {
+        self.inner.borrow().router.out_since(server)
+    }
+
     /// A request came in: the ticket through which its task hears of it.
     pub fn open(&self, call: &Call) -> Ticket<'_> {
         let (orders, mailbox) = unbounded();
@@ -302,9 +325,12 @@
     pub fn forget(&self) -> Vec<ServerId> {
         let now = self.clock.now();
         let mut inner = self.inner.borrow_mut();
-        let Inner { left, names, ids, .. } = &mut *inner;
-        let gone: Vec<ServerId> =
-            left.iter().filter(|(_, at)| **at + self.kept < now).map(|(id, _)| *id).collect();
+        let Inner { left, names, ids, router, .. } = &mut *inner;
+        let gone: Vec<ServerId> = left
+            .iter()
+            .filter(|(id, at)| **at + self.kept < now && router.out_since(**id).is_none())
+            .map(|(id, _)| *id)
+            .collect();
         for id in &gone {
             left.remove(id);
             names.remove(id).and_then(|name| ids.remove(&name));
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -5,7 +5,8 @@
 
 use super::core::{Chore, Clock, Core};
 use super::discovery::{Listing, Status};
-use super::{by, complain, read};
+use super::upgrade::Held;
+use super::{Budget, by, complain, read};
 use crate::pg::{self, Backend, ErrorFields, Inbox, Row, Statement, code};
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
@@ -82,7 +83,7 @@
     core: Rc<Core>,
     hosts: RefCell<BTreeMap<ServerId, Host>>,
     open: Rc<Cell<usize>>,
-    most: usize,
+    most: Budget,
     dial_timeout: Duration,
     fresh: Duration,
     drain_grace: Duration,
@@ -93,7 +94,7 @@
         Hosts {
             hosts: RefCell::default(),
             open: Rc::default(),
-            most,
+            most: Budget::new(most),
             dial_timeout: Duration::from_micros(core.dialect.dial_timeout_us),
             fresh: Duration::from_micros(core.dialect.keepalive_us).mul_f64(FRESH),
             drain_grace: Duration::from_micros(drain_grace),
@@ -101,6 +102,16 @@
         }
     }
 
+    /// Connections that are open.
+    pub fn held(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Another process holds so much of the limits, or none does any more.
+    pub fn share(&self, other: Option<Held>) {
+        self.most.share(self.open.get(), other.map(|o| o.hosts));
+    }
+
     /// News of the list; `ids` are the numbers of its entries.
     pub fn listed(&self, ids: &[ServerId], listing: &Listing) {
         let mut hosts = self.hosts.borrow_mut();
@@ -212,9 +223,12 @@
         }
     }
 
-    /// For how long the host has been known to drain or to be gone, if it is.
+    /// For how long the host has been known to drain, to be gone or to be left out, if it is.
     fn off_for(&self, server: ServerId) -> Option<Duration> {
-        Some(self.hosts.borrow().get(&server)?.off_since?.elapsed())
+        let told = self.hosts.borrow().get(&server).and_then(|h| Some(h.off_since?.elapsed()));
+        let since = self.core.out_since(server);
+        let by_hand = since.map(|at| Duration::from_micros(self.core.clock.now().saturating_sub(at)));
+        told.max(by_hand)
     }
 
     /// An idle connection that still stands, or a new one; or the outcome that its lack amounts to.
@@ -236,7 +250,7 @@
 
     /// A descriptor for one more connection; where none is left, that of the longest idle one.
     fn slot(&self) -> Option<Slot> {
-        if self.open.get() >= self.most {
+        if self.open.get() >= self.most.get() {
             let mut hosts = self.hosts.borrow_mut();
             let waiting = hosts.values_mut().filter(|h| !h.idle.is_empty());
             // The first of a pool has waited longest: the last is taken first.
@@ -247,8 +261,11 @@
     }
 
     fn give_back(&self, server: ServerId, mut connection: Connection) {
+        if self.off_for(server).is_some() {
+            return;
+        }
         let mut hosts = self.hosts.borrow_mut();
-        let Some(host) = hosts.get_mut(&server).filter(|h| h.off_since.is_none()) else { return };
+        let Some(host) = hosts.get_mut(&server) else { return };
         connection.idle_since = Instant::now();
         // Guards against keeping a connection to where the host no longer is.
         if connection.address == host.address {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,6 @@
-//! Everything that touches sockets, in five parts. `core` owns the decision module, time and the
+//! Everything that touches sockets, in six parts. `core` owns the decision module, time and the
 //! figures, `client` a request's life, `hosts` the connections to database hosts, `discovery` the
-//! list, `console` the operators' door.
+//! list, `console` the operators' door, `upgrade` what two processes share.
 //! This file holds only what they share; it must never decide nor keep state beyond a moment.
 
 pub mod client;
@@ -8,19 +8,24 @@
 pub mod core;
 pub mod discovery;
 pub mod hosts;
+pub mod upgrade;
 
 use crate::pg::Inbox;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use socket2::{Domain, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::{self, Read};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 /// Bytes that one read may bring.
 const READ_BYTES: usize = 32 * 1024;
 
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
 /// Complaints about peers that are written in a second; of the others only the number is.
 const COMPLAINTS: u32 = 10;
 
@@ -31,6 +36,41 @@
     static LANDING: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
 }
 
+/// A limit that two processes may have to share.
+pub struct Budget {
+    whole: usize,
+    mine: Cell<usize>,
+}
+
+impl Budget {
+    pub fn new(whole: usize) -> Budget {
+        Budget { whole, mine: Cell::new(whole) }
+    }
+    pub fn get(&self) -> usize {
+        self.mine.get()
+    }
+    /// Beside a process that holds so much, this one may have half of what neither holds.
+    pub fn share(&self, mine: usize, theirs: Option<usize>) {
+        let shared = |theirs| mine + self.whole.saturating_sub(mine + theirs) / 2;
+        self.mine.set(theirs.map_or(self.whole, shared));
+    }
+}
+
+/// A socket bound to the clients' address, beside another version of the program if one is there.
+pub fn bind(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+/// From now on the machine accepts connections there.
+pub fn listen(socket: Socket) -> io::Result<Async<TcpListener>> {
+    socket.listen(BACKLOG)?;
+    Async::new(socket.into())
+}
+
 /// Waits for bytes, hands them to `take` and returns their number; 0 at the end of the connection.
 async fn read_with(stream: &Async<TcpStream>, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
     stream
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! Plain records that `logic.rs` keeps, and the bytes of peer messages. Nothing is decided here.
 
-use crate::api::{Entry, GroupId, Listed, Micros, Outcome, RequestId, Safety, ServerId};
+use crate::api::{Class, Entry, GroupId, Listed, Micros, Outcome, RequestId, Safety, ServerId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// What this router knows of one server.
@@ -114,6 +114,14 @@
         self.error_share = 0.0;
         self.ejected_until = 0;
     }
+
+    /// As after a restart, with nothing left of what held it back. Guards against a server that comes
+    /// back from the operators' hands and stays unused for what its earlier process showed.
+    pub fn used_again(&mut self, since: Micros, limit: f64) {
+        self.restarted(since);
+        (self.strikes, self.refusals, self.limit, self.late) = (0, 0, limit, 0.0);
+        (self.full_until, self.cut_at) = (0, 0);
+    }
 }
 
 /// Appends to a list that keeps the newest `most`.
@@ -245,6 +253,14 @@
     pub fn outstanding(&self) -> usize {
         self.attempts.iter().filter(|a| a.outcome.is_none()).count()
     }
+    /// Until when an answer is worth anything.
+    pub fn useful_until(&self, c: &Class) -> Micros {
+        if c.aim_stretch <= 0.0 && (c.late_worth <= 0.0 || (self.held && c.late_worth < 0.5)) {
+            self.give_up_at.min(self.arrived.saturating_add(c.aim))
+        } else {
+            self.give_up_at
+        }
+    }
     /// The first attempt that is not proven to have had no effect.
     pub fn may_have_run(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran))
@@ -300,6 +316,37 @@
     })
 }
 
+/// The positions that peers have not been told for longest, as a message of so many lines.
+pub(crate) fn news(servers: &mut [Server], groups: &BTreeMap<GroupId, Group>, room: usize) -> Vec<u8> {
+    let fresh = |i: &usize| servers[*i].position > Some(servers[*i].told_peers);
+    let mut untold: Vec<usize> = (0..servers.len()).filter(fresh).collect();
+    untold.sort_by_key(|&i| servers[i].told_peers);
+    let mut bytes = Vec::new();
+    for i in untold.into_iter().take(room) {
+        let s = &mut servers[i];
+        s.told_peers = s.position.unwrap_or(0);
+        let primary = groups.get(&s.group).is_some_and(|g| g.primary == Some(i));
+        put_line(&mut bytes, s.id, s.told_peers, primary);
+    }
+    bytes
+}
+
+/// Takes the age of what is out at each server, in units of the mean class, and its in-flight count.
+pub(crate) fn age(
+    servers: &mut [Server], requests: &BTreeMap<RequestId, Request>, scales: &[f64], now: Micros, old: f64,
+) {
+    for s in servers.iter_mut() {
+        s.pending = 0.0;
+        s.count(old);
+    }
+    for r in requests.values() {
+        for a in r.attempts.iter().filter(|a| a.outcome.is_none()) {
+            let s = &mut servers[a.server];
+            s.pending = s.pending.max((now - a.sent) as f64 * scales[r.class]);
+        }
+    }
+}
+
 /// Lets servers go that left before this time and that no request has been to, and keeps their places
 /// for new ones. Those that only left the list without draining go only if `any` may.
 pub(crate) fn forget(
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -7,6 +7,10 @@
 use std::time::Instant;
 use support::*;
 
+fn served(value: &'static str) -> Host {
+    Host::start(move |_, _| Reply::Row(value))
+}
+
 #[test]
 fn the_door_tells_figures_and_says_why_not_beside_full_places_and_callers_that_stay() {
     let host = Host::start(|_, text| match text {
@@ -98,3 +102,93 @@
     assert!(client.ask("").empty);
     assert_eq!(client.ask(&read("again", "history", 9000)).value.as_deref(), Some("v"));
 }
+
+#[test]
+fn a_host_left_out_by_hand_gets_nothing_whatever_the_list_says_until_one_call_back() {
+    let (primary, replica) = (served("primary"), served("replica"));
+    let proxy = Proxy::with_console(&[&primary, &replica], 1024);
+    let name = |host: &Host| format!(r#"{{"who":"s-{}"}}"#, host.address.port());
+    let mut client = proxy.client();
+    let mut last = 0;
+    let mut ask = || {
+        last += 1;
+        client.ask(&read(&format!("{last}"), "browse", 9000)).value.expect("a value")
+    };
+    assert_eq!(ask(), "replica");
+    for (body, status, why) in
+        [("{\"who\":\"s-nobody\"}", 404, "s-nobody"), ("{\"who\":7}", 400, "who"), ("s-1", 400, "who")]
+    {
+        let (said, text) = proxy.call("POST", "/ops/database-hosts/down", body);
+        assert!(said == status && text.contains(why), "{body}: {said} {text}");
+    }
+    assert!((0..2000).any(|_| ask() == "replica"));
+    for _ in 0..2 {
+        assert_eq!(proxy.call("POST", "/ops/database-hosts/down", &name(&replica)).0, 200);
+    }
+    // It is restarted meanwhile: it leaves the list and comes back.
+    proxy.agent.asked();
+    for (index, status) in [(44, "DELETED"), (45, "SERVING")] {
+        proxy.agent.line(&list(index, false, &[(&primary, "SERVING"), (&replica, status)]));
+        proxy.agent.end_watch();
+        assert!(proxy.agent.asked().contains(&format!("index={index} ")));
+    }
+    assert!((0..20).all(|_| ask() == "primary"));
+    let figures = proxy.figures();
+    assert_eq!((&figures["hosts_listed"], &figures["hosts_down"]), (&2.into(), &1.into()));
+    assert_eq!(proxy.call("POST", "/ops/database-hosts/up", &name(&replica)).0, 200);
+    // Cold, it gets a part of the reads.
+    assert!((0..2000).any(|_| ask() == "replica"));
+    assert_eq!(proxy.figures()["hosts_down"], 0);
+}
+
+#[test]
+fn a_new_version_takes_over_beside_the_old_one_and_what_was_done_by_hand_binds_both() {
+    let (answer_now, may_answer) = std::sync::mpsc::channel::<()>();
+    let may_answer = std::sync::Mutex::new(may_answer);
+    let primary = Host::start(move |_, text| {
+        if text.contains("id=busy,") {
+            let _ = may_answer.lock().expect("lock").recv_timeout(PATIENCE);
+        }
+        Reply::Row("primary")
+    });
+    let replica = served("replica");
+    let mut old = Proxy::with_console(&[&primary, &replica], 1024);
+    let (mut busy, mut idle) = (old.client(), old.client());
+    assert_eq!(idle.ask(&read("1", "browse", 9000)).value.as_deref(), Some("replica"));
+    let who = format!(r#"{{"who":"s-{}"}}"#, replica.address.port());
+    assert_eq!(old.call("POST", "/ops/database-hosts/down", &who).0, 200);
+    busy.send(&query(&read("busy", "history", 9000)));
+    while !matches!(primary.next(), Seen::Opened) {}
+    // Something that was left over hinders no start.
+    std::fs::write(old.directory.join("hosts/zz"), "down soon").expect("written");
+    let new = old.beside();
+    new.logged("zz: unreadable");
+    old.logged("a new process has started");
+    assert_eq!(new.call("GET", "/ops/readiness", "").0, 503);
+    new.agent.asked();
+    new.agent.line(&list(42, true, &[(&primary, "SERVING"), (&replica, "SERVING")]));
+    new.logged("serves on");
+    assert_eq!(new.call("GET", "/ops/readiness", "").0, 200);
+    assert_eq!(new.figures()["hosts_down"], 1);
+    // The other process hears of it too; which one serves a newcomer is the machine's choice.
+    assert_eq!(new.call("POST", "/ops/database-hosts/up", &who).0, 200);
+    old.logged("was used again by hand");
+    assert_eq!(old.call("POST", "/ops/database-hosts/down", &who).0, 200);
+    new.logged("was left out by hand");
+    for id in 10..30 {
+        let text = read(&format!("{id}"), "browse", 9000);
+        assert_eq!(new.client().ask(&text).value.as_deref(), Some("primary"));
+    }
+    old.signal("TERM");
+    old.logged("stops");
+    assert_eq!(idle.answer().end, End::Closed);
+    for id in 30..50 {
+        let text = read(&format!("{id}"), "browse", 9000);
+        assert_eq!(new.client().ask(&text).value.as_deref(), Some("primary"));
+    }
+    answer_now.send(()).expect("the host waits");
+    assert_eq!(busy.answer().value.as_deref(), Some("primary"));
+    assert_eq!(busy.answer().end, End::Closed);
+    assert!(old.wait().success());
+    new.logged("the other process has ended");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -40,6 +40,15 @@
     IpAddr::from([127, 64 + (NEXT.fetch_add(1, Ordering::Relaxed) % 128) as u8, a, b.max(1)])
 }
 
+/// A directory that nothing else uses, outside the tree: a Unix socket's path may not be long.
+fn directory() -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("sillfold-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let path = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&path).expect("a directory");
+    path
+}
+
 fn listener() -> TcpListener {
     TcpListener::bind((address(), 0)).expect("a loopback port")
 }
@@ -239,6 +248,9 @@
     log: Receiver<String>,
     config: String,
     path: PathBuf,
+    /// Its TMPDIR.
+    pub directory: PathBuf,
+    owns_directory: bool,
 }
 
 impl Proxy {
@@ -267,9 +279,30 @@
             agent.address,
             list(41, true, &known)
         );
-        let config = change(config);
+        let proxy = Proxy::run(agent, address, change(config), directory());
+        proxy.logged("serves on");
+        proxy
+    }
+    /// A new version beside this one, at the same address and in the same directory, with a door and an
+    /// agent of its own. It knows no list, so it serves only once its agent has spoken.
+    pub fn beside(&self) -> Proxy {
+        let agent = Agent::start();
+        let config = self.config.replace(&self.agent.address.to_string(), &agent.address.to_string());
+        let (before, rest) = config.split_once(r#""known":"#).expect("a list");
+        let (_, after) = rest.split_once(r#","settings""#).expect("settings");
+        let known = r#"{"index":41,"snapshot":true,"endpoints":[]}"#;
+        let config = format!(r#"{before}"known":{known},"settings"{after}"#);
+        let config = config.replace(&CONSOLE_PORT.to_string(), &(CONSOLE_PORT + 1).to_string());
+        let mut proxy = Proxy::run(agent, self.address, config, self.directory.clone());
+        proxy.console.set_port(CONSOLE_PORT + 1);
+        proxy.owns_directory = false;
+        proxy
+    }
+    fn run(agent: Agent, address: SocketAddr, config: String, directory: PathBuf) -> Proxy {
         // As deployed: the environment names discovery too.
-        let (mut child, path) = program(&config, &[("LB_DISCOVERY", &agent.address.to_string())]);
+        let tmp = directory.to_str().expect("a path");
+        let env = [("LB_DISCOVERY", &*agent.address.to_string()), ("TMPDIR", tmp)];
+        let (mut child, path) = program(&config, &env);
         let log = BufReader::new(child.stderr.take().expect("piped"));
         let (tell, lines) = channel();
         thread::spawn(move || {
@@ -279,9 +312,7 @@
             }
         });
         let console = SocketAddr::new(address.ip(), CONSOLE_PORT);
-        let proxy = Proxy { child, address, console, agent, log: lines, config, path };
-        proxy.logged("serves on");
-        proxy
+        Proxy { child, address, console, agent, log: lines, config, path, directory, owns_directory: true }
     }
     /// Waits for a line of the log that holds this.
     pub fn logged(&self, text: &str) {
@@ -329,6 +360,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if self.owns_directory {
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
     }
 }
 
@@ -350,7 +384,7 @@
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("the configuration is written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_sillfold"));
-    for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONSOLE"] {
+    for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONSOLE", "TMPDIR"] {
         command.env_remove(key);
     }
     command.envs(env.iter().copied()).env("LB_CONFIG", &path).stderr(Stdio::piped());
