Pass values of up to 4 MiB through in pieces, at the pace of the slower side

Cause: pg.rs took a row of over 160 KB for nonsense (check_backend_head, MOST_BYTES), and each such answer was asked for again in vain. Now such rows and statements are passed on in pieces of one read (pg.rs LongRow and LongQuery, client.rs upload and pass_on); the module takes a statement into its picture of the host at its last byte only (Event::Coming, Whole). Time-outs on transfers are without progress: 2.5 s where a client writes, 15 s where one reads or a host gives.

--- a/src/api.rs
+++ b/src/api.rs
@@ -316,6 +316,10 @@
 pub enum Event {
     /// A request came in.
     Request(Arrival),
+    /// A request came in whose last bytes are still to come, and take as long as its client does.
+    Coming(Arrival),
+    /// The last byte of such a request came; the client gives it up at this time.
+    Whole(RequestId, Micros),
     /// An attempt ended.
     Outcome(Returned),
     /// The client left; the request is closed.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -154,7 +154,11 @@
         }
         for event in events {
             match event {
-                Event::Request(a) => self.arrive(a),
+                Event::Request(a) => self.arrive(a, false),
+                Event::Coming(a) => self.arrive(a, true),
+                Event::Whole(id, give_up_at) => {
+                    whole(&mut self.servers, &mut self.requests, *id, *give_up_at, self.now);
+                }
                 Event::Outcome(r) => {
                     self.returned(r);
                     self.report(r.server, r.report, false);
@@ -374,7 +378,7 @@
         matches!(effect, Effect::Safe | Effect::Keyed(DedupScope::All, _)) || r.may_have_run().is_none()
     }
 
-    fn arrive(&mut self, a: &Arrival) {
+    fn arrive(&mut self, a: &Arrival, coming: bool) {
         self.tokens = (self.tokens + RETRY_SHARE).min(RETRY_MAX);
         self.probes = (self.probes + PROBE_SHARE).min(PROBE_MAX);
         self.chat = (self.chat + PEER_BYTES).min(256.0 * f64::from(self.set.routers));
@@ -384,7 +388,8 @@
         let token = self.token(a.class, a.session, a.token_ms);
         let (class, group, session, give_up_at) = (usize::from(a.class), a.group, a.session, a.give_up_at);
         let (arrived, lot) = (self.now, self.rng.rand_float());
-        let r = Request { lot, class, group, session, token, arrived, give_up_at, ..Request::default() };
+        let r =
+            Request { lot, class, group, session, token, arrived, give_up_at, coming, ..Request::default() };
         if self.requests.insert(a.id, r).is_some() {
             return;
         }
@@ -425,7 +430,7 @@
         r.held = false;
         r.attempts.push(Attempt { server: i, sent: self.now, outcome: None });
         let s = &mut self.servers[i];
-        s.in_flight += 1;
+        s.in_flight += u32::from(!r.coming);
         s.count(Q_OLD);
         self.out.push(Action::Send { id, server: s.id, timeout });
     }
@@ -471,12 +476,12 @@
         }
         a.outcome = Some(outcome);
         let i = a.server;
-        let (class, session, group) = (r.class, r.session, r.group);
+        let (class, session, group, coming) = (r.class, r.session, r.group, r.coming);
         r.closed |= e.finished;
         let closed = r.closed;
         let need = self.set.classes[class].need;
         let s = &mut self.servers[i];
-        s.in_flight = s.in_flight.saturating_sub(1);
+        s.in_flight = s.in_flight.saturating_sub(u32::from(!coming));
         s.count(Q_OLD);
         self.connections(i, outcome, e.latency);
         self.evidence(i, class, outcome, e.latency);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -7,16 +7,17 @@
 //! is closed after `PROMPT`; who rests between requests after `IDLE`, or after `IDLE_CROWDED` when a
 //! newcomer finds no place.
 
-use super::core::{Call, Clock, Core, Ending, Order, fnv1a};
-use super::hosts::{Attempted, Hosts};
+use super::core::{Call, Clock, Core, Ending, Order, Ticket, fnv1a};
+use super::hosts::{Attempted, Hosts, LongAnswer, Opened};
 use super::upgrade::Held;
-use super::{Budget, by, complain, read, read_with};
+use super::{Budget, SOCKET_BYTES, by, complain, read, read_with};
 use crate::pg::{self, ErrorFields, Frontend, Inbox, Row, Startup, Statement, code};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, future};
 use sillfold::{Micros, Outcome};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::hash::{BuildHasher, RandomState};
@@ -25,9 +26,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// From its connection a client has this long to say something whole, and from the first byte of a
-/// message for the rest of it: an error or a close is owed within 3 s.
+/// A client that has begun to say something, or said nothing yet, has this long to go on: an error or a
+/// close is owed within 3 s to whoever stops in the middle, and a usual client may take 2 s for a head.
 const PROMPT: Duration = Duration::from_millis(2_500);
+/// A message that is taken whole has to be within this. Guards against a byte now and then.
+const LONGEST_MESSAGE: Duration = Duration::from_secs(30);
 /// A connection that rests for this long between requests is closed, or after the shorter time where
 /// many do. Guards against clients that ask once and stay: they may open only so many connections,
 /// and those at rest keep them from asking again.
@@ -44,8 +47,8 @@
 /// that catches a request on its way: whoever asks often is gone by then.
 const DRAIN_ANSWERED: Duration = Duration::from_millis(500);
 const DRAIN_AT_REST: Duration = Duration::from_millis(1_500);
-/// A client that takes nothing of an answer for this long is given up.
-const STUCK: Duration = Duration::from_millis(2_500);
+/// A client that takes nothing of an answer for this long is given up. Usual ones read slowly at times.
+const STUCK: Duration = Duration::from_secs(15);
 /// After a last message the connection is closed once the client has sent nothing for this long, or
 /// after the longest farewell: one that is still sending 60 MB has to hear the error.
 const FAREWELL: Duration = Duration::from_millis(200);
@@ -266,6 +269,8 @@
 
     fn begin(self: &Rc<Clients>, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
+        // What waits for a slow reader counts as memory too.
+        let _ = SockRef::from(stream.get_ref()).set_send_buffer_size(SOCKET_BYTES);
         let refused = self.open.get() >= self.most.get();
         let (count, most) = if refused { (&self.refusing, REFUSALS) } else { (&self.open, self.most.get()) };
         if refused {
@@ -395,6 +400,8 @@
 /// The one final answer to a request.
 enum Verdict {
     Served(Row),
+    /// The client has its row already, and the end of the command.
+    Passed,
     Refused {
         retry_in: Micros,
     },
@@ -403,6 +410,14 @@
     Rejected(ErrorFields),
 }
 
+/// Why a long statement did not get to a host.
+enum Upload {
+    /// The outcome that the lack of a connection amounts to; nothing has run.
+    NoConnection(Outcome),
+    /// The client broke it off.
+    BrokenOff,
+}
+
 /// Why a wait for more bytes ended.
 enum Came {
     Bytes,
@@ -427,6 +442,8 @@
     asked: bool,
     /// Since when a part of a message waits for the rest.
     partial: Option<Instant>,
+    /// When the client last said anything.
+    heard: Instant,
     /// Told when the place is wanted for another.
     go: (Sender<()>, Receiver<()>),
 }
@@ -443,6 +460,7 @@
             spoken: false,
             asked: false,
             partial: None,
+            heard: Instant::now(),
             go: async_channel::bounded(1),
         }
     }
@@ -491,20 +509,22 @@
                     pg::put_ready(&mut self.out);
                 }
                 Frontend::Query(text) => {
-                    let came = self.all.core.clock.now();
-                    match self.read_request(text, came) {
-                        Ok((call, statement, _claim)) => {
-                            self.asked = true;
-                            // The answers to commands before this one do not wait for its own.
-                            self.flush().await?;
-                            match self.serve(&call, &statement).await {
-                                Some(verdict) => self.put_verdict(call.class, verdict),
-                                None => return Ok(false),
-                            }
+                    if !self.request(text, &mut 0).await? {
+                        return Ok(false);
+                    }
+                }
+                Frontend::LongQuery(beginning, mut left) => {
+                    if !self.request(beginning, &mut left).await? {
+                        return Ok(false);
+                    }
+                    // What is left of one that had its answer before its end.
+                    self.flush().await?;
+                    while left > 0 {
+                        match self.more().await? {
+                            Came::Bytes => left -= self.inbox.skip(left),
+                            other => return self.over(other).await,
                         }
-                        Err(e) => pg::put_error(&mut self.out, &e),
                     }
-                    pg::put_ready(&mut self.out);
                 }
             }
             if !self.inbox.is_empty() {
@@ -514,19 +534,44 @@
         }
     }
 
-    /// The life of one request. Nothing if its client left before it was answered.
-    async fn serve(&mut self, call: &Call, statement: &Statement) -> Option<Verdict> {
+    /// One request, of which so many bytes are still to come, up to its answer; false if there was none
+    /// and the connection has to end.
+    async fn request(&mut self, text: String, left: &mut usize) -> io::Result<bool> {
+        let came = self.all.core.clock.now();
+        match self.read_request(text, came) {
+            Ok((call, statement, _claim)) => {
+                self.asked = true;
+                // The answers to commands before this one do not wait for its own.
+                self.flush().await?;
+                match self.serve(&call, &statement, left).await {
+                    Some(verdict) => self.put_verdict(call.class, verdict),
+                    None => return Ok(false),
+                }
+            }
+            Err(e) => pg::put_error(&mut self.out, &e),
+        }
+        pg::put_ready(&mut self.out);
+        Ok(true)
+    }
+
+    /// The life of one request, of which so many bytes are still to come. Nothing if its client left before
+    /// it was answered, or can no longer be answered in order.
+    async fn serve(&mut self, call: &Call, statement: &Statement, left: &mut usize) -> Option<Verdict> {
         enum Happened {
             Ended(Attempted),
             Ordered(Order),
+            Uploaded(Result<Opened, Upload>),
             ClientGone,
         }
         let (core, hosts) = (self.all.core.clone(), self.all.hosts.clone());
-        let ticket = core.open(call);
+        let ticket = core.open(call, *left > 0);
+        let written = || core.count(call.class, |c| &mut c.backend_calls);
         let mut order = None;
         loop {
             let next = match order.take() {
                 Some(order) => order,
+                // What is still to come of a long statement stays where it is until a host is chosen.
+                None if *left > 0 => ticket.order().await,
                 None => match future::or(async { Some(ticket.order().await) }, self.gone()).await {
                     Some(order) => order,
                     None => {
@@ -542,18 +587,35 @@
                 // The attempt ended on its own just before.
                 Order::Withdraw => continue,
             };
-            let sent = Instant::now();
-            let written = || core.count(call.class, |c| &mut c.backend_calls);
+            let (mut sent, coming) = (Instant::now(), *left);
             // Whichever comes first; the others are dropped here, and with an attempt its connection:
             // it is closed before the module hears of it, so that no second copy can be out.
-            let happened = future::or(
-                async { Happened::Ended(hosts.attempt(server, statement, until, written).await) },
-                future::or(async { Happened::Ordered(ticket.order().await) }, async {
-                    self.gone::<()>().await;
-                    Happened::ClientGone
-                }),
-            )
-            .await;
+            let mut happened = if coming > 0 {
+                let upload = async {
+                    let opened = hosts.open(server, until).await.map_err(Upload::NoConnection)?;
+                    self.upload(opened, statement, left).await
+                };
+                let upload = async { Happened::Uploaded(upload.await) };
+                future::or(upload, async { Happened::Ordered(ticket.order().await) }).await
+            } else {
+                let attempt = hosts.attempt(server, statement, until, written);
+                let attempt = async { Happened::Ended(attempt.await) };
+                self.beside(attempt, &ticket, Happened::Ordered, Happened::ClientGone).await
+            };
+            // What was passed on in pieces is not here any more for another attempt.
+            let once = *left < coming;
+            if once {
+                // The client's pace says nothing of the host's.
+                sent = Instant::now();
+            }
+            if let Happened::Uploaded(Ok(opened)) = happened {
+                // Its last byte is here: its time begins.
+                let give_up_at = self.give_up_at(statement, core.clock.now());
+                written();
+                ticket.whole(give_up_at);
+                let answer = async { Happened::Ended(hosts.answer(opened, give_up_at).await) };
+                happened = self.beside(answer, &ticket, Happened::Ordered, Happened::ClientGone).await;
+            }
             let ended = |outcome, note| {
                 ticket.ended(Ending { server, number, outcome, latency: sent.elapsed(), note });
             };
@@ -563,17 +625,37 @@
                     ended(outcome, note);
                     return Some(Verdict::Rejected(e));
                 }
+                Happened::Ended(Attempted { outcome, note, long: Some(long), .. }) => {
+                    // The host has done its work: a slow reader must not look like a slow host.
+                    ended(outcome, note);
+                    return self.pass_on(long).await;
+                }
                 Happened::Ended(Attempted { outcome, note, row, .. }) => {
+                    if once {
+                        ticket.answered();
+                    }
                     ended(outcome, note);
-                    if let Some(row) = row {
-                        return Some(Verdict::Served(row));
+                    match row {
+                        Some(row) => return Some(Verdict::Served(row)),
+                        None if once && outcome.never_ran() => return Some(Verdict::Refused { retry_in: 0 }),
+                        None if once => return Some(Verdict::Failed),
+                        None => {}
+                    }
+                }
+                Happened::Uploaded(Err(Upload::NoConnection(outcome))) => {
+                    if once {
+                        ticket.answered();
+                    }
+                    ended(outcome, Default::default());
+                    if once {
+                        return Some(Verdict::Refused { retry_in: 0 });
                     }
                 }
                 Happened::Ordered(other) => {
                     ended(Outcome::Cancelled, Default::default());
                     order = Some(other);
                 }
-                Happened::ClientGone => {
+                Happened::Uploaded(_) | Happened::ClientGone => {
                     ticket.client_gone();
                     ended(Outcome::Cancelled, Default::default());
                     return None;
@@ -582,6 +664,75 @@
         }
     }
 
+    /// The work, unless the module orders something else before, or the client leaves.
+    async fn beside<T>(
+        &mut self, work: impl Future<Output = T>, ticket: &Ticket<'_>, ordered: impl FnOnce(Order) -> T,
+        gone: T,
+    ) -> T {
+        let ordered = async { ordered(ticket.order().await) };
+        let left = async {
+            self.gone::<()>().await;
+            gone
+        };
+        future::or(work, future::or(ordered, left)).await
+    }
+
+    /// Passes on a long statement as its client writes it, up to its last byte.
+    async fn upload(
+        &mut self, mut opened: Opened, statement: &Statement, left: &mut usize,
+    ) -> Result<Opened, Upload> {
+        let broken = |_| Upload::NoConnection(Outcome::ConnectFailed);
+        let mut piece = Vec::new();
+        pg::put_long_query(&mut piece, statement.text(), *left);
+        opened.write(&piece).await.map_err(broken)?;
+        while *left > 0 {
+            match self.more().await {
+                Ok(Came::Bytes) => {}
+                Ok(why) => {
+                    // It hears so; the connection ends in either case.
+                    let _ = self.over(why).await;
+                    return Err(Upload::BrokenOff);
+                }
+                Err(_) => return Err(Upload::BrokenOff),
+            }
+            piece.clear();
+            *left -= self.inbox.move_to(&mut piece, *left);
+            opened.write(&piece).await.map_err(broken)?;
+        }
+        Ok(opened)
+    }
+
+    /// Passes on a value as fast as its client takes it. Nothing if the host breaks it off: only the end
+    /// of the connection tells the client so.
+    async fn pass_on(&mut self, mut long: Box<LongAnswer>) -> Option<Verdict> {
+        pg::put_long_row(&mut self.out, &long.column, long.value);
+        while long.piece(&mut self.out).await.ok()? > 0 {
+            self.flush().await.ok()?;
+        }
+        pg::put_complete(&mut self.out, &self.all.hosts.finish(long).await?);
+        Some(Verdict::Passed)
+    }
+
+    /// Bytes of a message that has begun, those that wait or the next.
+    async fn more(&mut self) -> io::Result<Came> {
+        if !self.inbox.is_empty() {
+            return Ok(Came::Bytes);
+        }
+        match by(Instant::now() + PROMPT, read(&self.stream, &mut self.inbox)).await {
+            Some(Ok(1..)) => Ok(Came::Bytes),
+            Some(Ok(_)) => Ok(Came::End),
+            Some(Err(e)) => Err(e),
+            None => Ok(Came::TooSlow),
+        }
+    }
+
+    /// When the client of a statement whose last byte came then gives it up, less the way back: the
+    /// answer has to be there by then, not only on its way.
+    fn give_up_at(&self, statement: &Statement, came: Micros) -> Micros {
+        let patience = statement.patience_ms.min(MOST_PATIENCE_MS) * 1_000;
+        came + patience.saturating_sub(self.all.way_back).max(patience / 2)
+    }
+
     /// Reads a request; the error is what the client is told instead.
     fn read_request(&self, text: String, came: Micros) -> Result<(Call, Statement, Claim<'a>), ErrorFields> {
         let error =
@@ -604,13 +755,11 @@
             let what = format!("id {:?} is that of another request", statement.id);
             error(code::DUPLICATE_OBJECT, what)
         })?;
-        let patience = statement.patience_ms.min(MOST_PATIENCE_MS) * 1_000;
         let call = Call {
             class,
             session: fnv1a(statement.key()),
             group: statement.group,
-            // The answer has to be there by then, not only on its way.
-            give_up_at: came + patience.saturating_sub(self.all.way_back).max(patience / 2),
+            give_up_at: self.give_up_at(&statement, came),
             after: statement.after_ms.map(Clock::from_unix_ms),
         };
         Ok((call, statement, claim))
@@ -618,12 +767,13 @@
 
     fn put_verdict(&mut self, class: u8, verdict: Verdict) {
         self.all.core.count(class, |c| match verdict {
-            Verdict::Served(_) => &mut c.success,
+            Verdict::Served(_) | Verdict::Passed => &mut c.success,
             Verdict::Refused { .. } => &mut c.busy,
             Verdict::Failed | Verdict::Rejected(_) => &mut c.failure,
         });
         match verdict {
             Verdict::Served(row) => pg::put_row(&mut self.out, &row),
+            Verdict::Passed => {}
             Verdict::Refused { retry_in } => {
                 let fields = ErrorFields {
                     code: code::TOO_MANY_CONNECTIONS.into(),
@@ -681,13 +831,17 @@
     }
 
     async fn flush(&mut self) -> io::Result<()> {
-        if self.out.is_empty() {
-            return Ok(());
+        let mut written = 0;
+        while written < self.out.len() {
+            let part = by(Instant::now() + STUCK, self.stream.write(&self.out[written..])).await;
+            match part.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                n => written += n,
+            }
         }
-        let written = by(Instant::now() + STUCK, self.stream.write_all(&self.out)).await;
         self.out.clear();
         self.out.shrink_to(OWN_BYTES);
-        written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+        Ok(())
     }
 
     /// Writes what is due, then waits for more, for as long as the client may take.
@@ -702,8 +856,8 @@
             self.partial.get_or_insert(now);
         }
         let until = match self.partial {
-            _ if !self.spoken => self.begun + PROMPT,
-            Some(since) => since + PROMPT,
+            _ if !self.spoken => (self.heard + PROMPT).min(self.begun + LONGEST_MESSAGE),
+            Some(since) => (self.heard.max(since) + PROMPT).min(since + LONGEST_MESSAGE),
             None if !self.asked || self.all.waiting.borrow().idle.len() > self.all.most.get() / CROWDED => {
                 now + IDLE_CROWDED
             }
@@ -733,6 +887,7 @@
             None
         };
         let read = by(until, future::or(read, future::or(closing, asked_to_go))).await;
+        self.heard = Instant::now();
         match read {
             Some(Some(Ok(n))) if n > 0 => Ok(if self.affordable() { Came::Bytes } else { Came::TooMuch }),
             Some(Some(Err(e))) => Err(e),
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -124,6 +124,8 @@
     orders: Sender<Order>,
     give_up_at: Micros,
     attempts: u8,
+    /// Its last bytes are still to come: it is not taken yet.
+    coming: bool,
 }
 
 struct Inner {
@@ -212,7 +214,7 @@
         Figures {
             calls: self.dialect.classes.iter().cloned().zip(inner.calls.iter().cloned()).collect(),
             backend_calls: inner.calls.iter().map(|c| c.backend_calls).sum(),
-            inflight: inner.open.len(),
+            inflight: inner.open.values().filter(|o| !o.coming).count(),
             hosts_listed,
             hosts_down,
         }
@@ -251,27 +253,29 @@
         self.inner.borrow().router.out_since(server)
     }
 
-    /// A request came in: the ticket through which its task hears of it.
-    pub fn open(&self, call: &Call) -> Ticket<'_> {
+    /// A request came in: the ticket through which its task hears of it. Where its last bytes are still
+    /// `coming`, its time begins with `Ticket::whole`.
+    pub fn open(&self, call: &Call, coming: bool) -> Ticket<'_> {
         let (orders, mailbox) = unbounded();
         let id = {
             let mut inner = self.inner.borrow_mut();
             inner.last_id = inner.last_id.wrapping_add(1);
             let id = inner.last_id;
-            inner.open.insert(id, Open { orders, give_up_at: call.give_up_at, attempts: 0 });
+            inner.open.insert(id, Open { orders, give_up_at: call.give_up_at, attempts: 0, coming });
             id
         };
         let now = self.clock.now();
         // 0 stands for no token, so a commit of this very moment counts as a little older.
         let age = call.after.map_or(0.0, |at| (now.saturating_sub(at) as f32 / 1e3).max(0.001));
-        self.feed(Event::Request(Arrival {
+        let arrival = Arrival {
             id,
             class: call.class,
             session: call.session,
             give_up_at: call.give_up_at,
             group: call.group,
             token_ms: age,
-        }));
+        };
+        self.feed(if coming { Event::Coming(arrival) } else { Event::Request(arrival) });
         Ticket { core: self, id, mailbox, answered: Cell::new(false) }
     }
 
@@ -461,6 +465,14 @@
         }
     }
 
+    /// The request's last byte is here, and passed on.
+    pub fn whole(&self, give_up_at: Micros) {
+        if let Some(open) = self.core.inner.borrow_mut().open.get_mut(&self.id) {
+            (open.coming, open.give_up_at) = (false, give_up_at);
+        }
+        self.core.feed(Event::Whole(self.id, give_up_at));
+    }
+
     /// An attempt of this request ended; its connection is given back or closed by now.
     pub fn ended(&self, e: Ending) {
         let finished = self.answered.get() || e.outcome == Outcome::Ok;
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -6,16 +6,17 @@
 use super::core::{Chore, Clock, Core};
 use super::discovery::{Listing, Status};
 use super::upgrade::Held;
-use super::{Budget, by, complain, read};
-use crate::pg::{self, Backend, ErrorFields, Inbox, Row, Statement, code};
+use super::{Budget, SOCKET_BYTES, by, complain, read};
+use crate::pg::{self, Backend, Column, ErrorFields, Inbox, Row, Statement, code};
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
 use sillfold::{Micros, Outcome, Report, Role, ServerId};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -27,6 +28,10 @@
 /// Share of the idle limit after which a connection is no longer used: a request written to it as
 /// the host closes it would end as a reset.
 const FRESH: f64 = 0.8;
+/// A host that gives or takes nothing of a long value for this long has broken off; and this long is
+/// waited for what is to come behind the end of one.
+const STALLED: Duration = Duration::from_secs(15);
+const AFTERMATH: Duration = Duration::from_millis(100);
 /// This much before a drain's grace ends nothing more is written to the host.
 const DRAIN_MARGIN: Duration = Duration::from_millis(25);
 
@@ -70,11 +75,69 @@
     pub row: Option<Row>,
     /// What the host holds against the statement itself, as any other host would.
     pub rejected: Option<ErrorFields>,
+    /// A row that is served, and whose value is still to come.
+    pub long: Option<Box<LongAnswer>>,
+}
+
+/// A connection on which one attempt may be written.
+pub struct Opened {
+    server: ServerId,
+    connection: Connection,
+}
+
+impl Opened {
+    /// Writes a piece of a statement; an error also where the host takes nothing for long.
+    pub async fn write(&mut self, mut piece: &[u8]) -> io::Result<()> {
+        while !piece.is_empty() {
+            let written = by(Instant::now() + STALLED, self.connection.stream.write(piece)).await;
+            match written.unwrap_or_else(|| Err(ErrorKind::TimedOut.into()))? {
+                0 => return Err(ErrorKind::WriteZero.into()),
+                n => piece = &piece[n..],
+            }
+        }
+        Ok(())
+    }
+}
+
+/// An answer whose value is read as fast as its reader takes it.
+pub struct LongAnswer {
+    opened: Opened,
+    pub column: Column,
+    /// Bytes of the value, and those still to come.
+    pub value: usize,
+    left: usize,
+}
+
+impl LongAnswer {
+    /// Appends what has come of the value; 0 at its end, an error where it breaks off.
+    pub async fn piece(&mut self, out: &mut Vec<u8>) -> io::Result<usize> {
+        let c = &mut self.opened.connection;
+        if self.left > 0 && c.inbox.is_empty() {
+            let read = by(Instant::now() + STALLED, read(&c.stream, &mut c.inbox)).await;
+            if read.unwrap_or_else(|| Err(ErrorKind::TimedOut.into()))? == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+        }
+        let n = c.inbox.move_to(out, self.left);
+        self.left -= n;
+        Ok(n)
+    }
+}
+
+/// What an answer turned out to be.
+enum Answered {
+    /// With whether the connection may serve another.
+    Whole(Attempted, bool),
+    Long {
+        note: Report,
+        column: Column,
+        value: usize,
+    },
 }
 
 impl Attempted {
     fn without_answer(outcome: Outcome) -> Attempted {
-        Attempted { outcome, note: Report::default(), row: None, rejected: None }
+        Attempted { outcome, note: Report::default(), row: None, rejected: None, long: None }
     }
 }
 
@@ -146,49 +209,79 @@
         }
     }
 
-    /// One attempt, from the choice of a connection to the answer. It ends at `until` at the latest;
-    /// dropping the future closes the connection, which withdraws the attempt.
+    /// One attempt at a statement that is whole, from the choice of a connection to the answer. It ends at
+    /// `until` at the latest; dropping the future closes the connection, which withdraws the attempt.
     /// `written` is called once the last byte is.
     pub async fn attempt(
         &self, server: ServerId, statement: &Statement, until: Micros, written: impl FnOnce(),
     ) -> Attempted {
+        let deadline = self.core.clock.instant(until);
+        let mut opened = match self.open(server, until).await {
+            Ok(opened) => opened,
+            Err(outcome) => return Attempted::without_answer(outcome),
+        };
+        let left = until.saturating_sub(self.core.clock.now()).div_ceil(1_000).max(1);
+        let mut query = Vec::new();
+        pg::put_query(&mut query, &statement.with_patience(left));
+        match by(deadline, opened.connection.stream.write_all(&query)).await {
+            Some(Ok(())) => written(),
+            Some(Err(_)) => return Attempted::without_answer(Outcome::ConnectFailed),
+            None => return Attempted::without_answer(Outcome::Timeout),
+        }
+        self.answer(opened, until).await
+    }
+
+    /// A connection on which an attempt may be written, or the outcome that its lack amounts to.
+    pub async fn open(&self, server: ServerId, until: Micros) -> Result<Opened, Outcome> {
         let deadline = self.core.clock.instant(until);
         let begun = Instant::now();
         let dialled = (begun + self.dial_timeout).min(deadline);
-        let mut connection = match by(dialled, self.connection(server)).await {
-            Some(Ok(connection)) => connection,
-            Some(Err(outcome)) => return Attempted::without_answer(outcome),
+        let connection = match by(dialled, self.connection(server)).await {
+            Some(connection) => connection?,
             // Nothing was written, so it is no time-out. Guards against a lost host passing for a slow
             // one: a class whose time is shorter than the dial's would never show that it is out of
             // reach. A dial that was given too little time to tell proves nothing of the host.
-            None if begun.elapsed() < self.dial_timeout / 2 => {
-                return Attempted::without_answer(Outcome::Moot);
-            }
-            None => return Attempted::without_answer(Outcome::ConnectFailed),
+            None if begun.elapsed() < self.dial_timeout / 2 => return Err(Outcome::Moot),
+            None => return Err(Outcome::ConnectFailed),
         };
         // Guards against a send that began in time, and whose dial outlasted the grace of a drain.
         if self.off_for(server).is_some_and(|off| off + DRAIN_MARGIN > self.drain_grace) {
-            return Attempted::without_answer(Outcome::Moot);
-        }
-        let left = until.saturating_sub(self.core.clock.now()).div_ceil(1_000).max(1);
-        let mut query = Vec::new();
-        pg::put_query(&mut query, &statement.with_patience(left));
-        match by(deadline, connection.stream.write_all(&query)).await {
-            Some(Ok(())) => written(),
-            Some(Err(_)) => return Attempted::without_answer(Outcome::ConnectFailed),
-            None => return Attempted::without_answer(Outcome::Timeout),
+            return Err(Outcome::Moot);
         }
-        match by(deadline, connection.answer()).await {
-            Some((attempted, reusable)) => {
+        Ok(Opened { server, connection })
+    }
+
+    /// The answer to what was written, by this time at the latest.
+    pub async fn answer(&self, mut opened: Opened, until: Micros) -> Attempted {
+        match by(self.core.clock.instant(until), opened.connection.answer()).await {
+            Some(Answered::Whole(attempted, reusable)) => {
                 if reusable {
-                    self.give_back(server, connection);
+                    self.give_back(opened.server, opened.connection);
                 }
                 attempted
             }
+            Some(Answered::Long { note, column, value }) => {
+                let long = Some(Box::new(LongAnswer { opened, column, value, left: value }));
+                Attempted { note, long, ..Attempted::without_answer(Outcome::Ok) }
+            }
             None => Attempted::without_answer(Outcome::Timeout),
         }
     }
 
+    /// What comes behind the value of a long answer: the command's tag, if it ends as it should.
+    pub async fn finish(&self, long: Box<LongAnswer>) -> Option<String> {
+        let Opened { server, mut connection } = long.opened;
+        let Backend::CommandComplete(tag) = by(Instant::now() + STALLED, connection.next()).await?? else {
+            return None;
+        };
+        // The client waits for this only as long as it makes no difference.
+        let ready = by(Instant::now() + AFTERMATH, connection.next()).await.flatten();
+        if ready == Some(Backend::ReadyForQuery) && connection.inbox.is_empty() {
+            self.give_back(server, connection);
+        }
+        Some(tag)
+    }
+
     /// Asks a host for its report.
     async fn probe(&self, server: ServerId) {
         let by_when = Instant::now() + self.dial_timeout;
@@ -197,7 +290,7 @@
             let mut query = Vec::new();
             pg::put_query(&mut query, "SHOW usage");
             connection.stream.write_all(&query).await.ok()?;
-            let (attempted, reusable) = connection.answer().await;
+            let Answered::Whole(attempted, reusable) = connection.answer().await else { return None };
             if reusable {
                 self.give_back(server, connection);
             }
@@ -307,6 +400,8 @@
     async fn dial(address: SocketAddr, slot: Slot) -> Result<Connection, Outcome> {
         let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Outcome::ConnectFailed)?;
         stream.get_ref().set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+        // What a slow reader leaves there counts as memory too.
+        let _ = SockRef::from(stream.get_ref()).set_recv_buffer_size(SOCKET_BYTES);
         let (inbox, idle_since) = (Inbox::default(), Instant::now());
         let mut connection = Connection { stream, address, inbox, idle_since, _slot: slot };
         let mut startup = Vec::new();
@@ -350,9 +445,19 @@
         }
     }
 
+    /// The next message that is more than a note.
+    async fn next(&mut self) -> Option<Backend> {
+        loop {
+            match self.message().await.ok()? {
+                Backend::ParameterStatus { .. } | Backend::Skipped => {}
+                other => return Some(other),
+            }
+        }
+    }
+
     /// Reads the answer to the query that is out: what it amounts to, and whether the connection
     /// may serve another.
-    async fn answer(&mut self) -> (Attempted, bool) {
+    async fn answer(&mut self) -> Answered {
         let (mut note, mut rejected) = (Report::default(), None);
         let (mut column, mut value, mut row, mut refused) = (None, None, None, None);
         let ended = loop {
@@ -368,6 +473,11 @@
                 Ok(Backend::DataRow(mut values)) if values.len() == 1 && value.is_none() => {
                     value = values.pop();
                 }
+                Ok(Backend::LongRow(length)) if column.is_some() && value.is_none() && refused.is_none() => {
+                    // Checked up to here; from its first byte on there is no second try.
+                    let Some(column) = column.take() else { continue };
+                    return Answered::Long { note, column, value: length };
+                }
                 Ok(Backend::CommandComplete(tag)) => match (column.take(), value.take()) {
                     (Some(column), Some(value)) => row = Some(Row { column, value, tag }),
                     _ => break Some(Broken::Nonsense(format!("{tag} without one row of one column"))),
@@ -402,6 +512,6 @@
         let row = row.filter(|_| outcome == Outcome::Ok);
         // Guards against something unasked passing for the answer to the next request.
         let reusable = ended.is_none() && self.inbox.is_empty();
-        (Attempted { outcome, note, row, rejected }, reusable)
+        Answered::Whole(Attempted { outcome, note, row, rejected, long: None }, reusable)
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,6 +23,9 @@
 /// Bytes that one read may bring.
 const READ_BYTES: usize = 32 * 1024;
 
+/// What the machine may hold of a long value for one connection, at the side where it piles up.
+pub const SOCKET_BYTES: usize = 128 * 1024;
+
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -2,8 +2,15 @@
 //! encoded once. It owns the layout of messages, the limits on their length and the bytes that are
 //! not decoded yet. It must never do I/O, and never decide what an answer means for a request.
 
-/// The longest message accepted: a value of 64 KiB as hexadecimal text, with room around it.
+/// The longest message that is taken whole: a value of 64 KiB as hexadecimal text, with room around it.
 pub const MOST_BYTES: usize = 160 * 1024;
+/// The longest value; in a row beyond the first length, it is passed on in pieces.
+const MOST_VALUE: i64 = 4 << 20;
+const WHOLE_VALUE: i64 = 64 << 10;
+/// The longest statement, with the longest value as hexadecimal text. Beyond `MOST_BYTES` it is passed on
+/// in pieces; what names class, group and key stands in its first bytes, so many.
+const MOST_STATEMENT: usize = 2 * MOST_VALUE as usize + MOST_BYTES;
+const HEAD_BYTES: usize = 4 * 1024;
 /// The longest message of a database host that holds no row.
 const MOST_OTHER: i64 = 16 * 1024;
 /// An inbox that has been emptied keeps this much of its memory.
@@ -64,6 +71,19 @@
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
+    /// Moves bytes that are not decoded, as they are, to the end of `out`, so many at most.
+    pub fn move_to(&mut self, out: &mut Vec<u8>, most: usize) -> usize {
+        let n = self.len().min(most);
+        out.extend_from_slice(&self.rest()[..n]);
+        self.take(n);
+        n
+    }
+    /// Drops bytes that are not decoded, so many at most.
+    pub fn skip(&mut self, most: usize) -> usize {
+        let n = self.len().min(most);
+        self.take(n);
+        n
+    }
     /// The memory that it holds.
     pub fn held(&self) -> usize {
         self.bytes.capacity()
@@ -101,6 +121,8 @@
 #[derive(Debug, PartialEq)]
 pub enum Frontend {
     Query(String),
+    /// The beginning of a long statement, and how many bytes of its message are still to come.
+    LongQuery(String, usize),
     /// A whole message whose contents make no sense; the stream goes on behind it.
     Unreadable(Malformed),
     Terminate,
@@ -120,6 +142,8 @@
     },
     RowDescription(Vec<Column>),
     DataRow(Vec<Option<Vec<u8>>>),
+    /// A row of one column whose value, so long, is still to come.
+    LongRow(usize),
     CommandComplete(String),
     EmptyQuery,
     Error(ErrorFields),
@@ -247,6 +271,9 @@
     if let Some(kind) = inbox.rest().first().filter(|k| !b"QXSHPBEDCdcfFp".contains(k)) {
         return bad(format!("a message of the unknown type {kind:#04x}"));
     }
+    if let Some((b'Q', len)) = inbox.rest().first_chunk::<5>().and_then(|h| Some((h[0], long(h)?))) {
+        return Ok(long_query(inbox, len));
+    }
     let Some((kind, bytes)) = whole_message(inbox)? else { return Ok(None) };
     let mut body = Body(bytes);
     let message = match kind {
@@ -265,6 +292,24 @@
     Ok(Some(message))
 }
 
+/// The length of a statement that is too long to be taken whole, and not too long to be passed on.
+fn long(head: &[u8; 5]) -> Option<usize> {
+    let len = usize::try_from(Body(&head[1..]).i32().ok()?).ok()?;
+    (MOST_BYTES + 1..=MOST_STATEMENT).contains(&len).then_some(len)
+}
+
+/// Takes the beginning of a long statement, up to a whole character.
+fn long_query(inbox: &mut Inbox, len: usize) -> Option<Frontend> {
+    let head = inbox.rest().get(5..5 + HEAD_BYTES)?;
+    let end = match std::str::from_utf8(head) {
+        Err(e) if e.error_len().is_none() => e.valid_up_to(),
+        _ => head.len(),
+    };
+    let text = String::from_utf8_lossy(&head[..end]).into_owned();
+    inbox.take(5 + end);
+    Some(Frontend::LongQuery(text, len - 4 - end))
+}
+
 /// Whether the head of a host's message can be that of one. Guards against waiting for the rest of
 /// an answer whose length is wrong: it never comes, and the attempt would take all of its time.
 fn check_backend_head(rest: &[u8]) -> Result<(), Malformed> {
@@ -275,7 +320,7 @@
     let Some((len, rest)) = rest.split_first_chunk::<4>() else { return Ok(()) };
     let len = i64::from(i32::from_be_bytes(*len));
     let most = match kind {
-        b'D' => MOST_BYTES as i64,
+        b'D' => MOST_VALUE + 10,
         b'Z' => 5,
         _ => MOST_OTHER,
     };
@@ -295,6 +340,13 @@
 /// Takes one message of a database host.
 pub fn decode_backend(inbox: &mut Inbox) -> Decoded<Backend> {
     check_backend_head(inbox.rest())?;
+    if let Some(&[b'D', _, _, _, _, 0, 1, a, b, c, d]) = inbox.rest().first_chunk::<11>() {
+        let value = i32::from_be_bytes([a, b, c, d]);
+        if i64::from(value) > WHOLE_VALUE {
+            inbox.take(11);
+            return Ok(Some(Backend::LongRow(value as usize)));
+        }
+    }
     let Some((kind, bytes)) = whole_message(inbox)? else { return Ok(None) };
     let mut body = Body(bytes);
     let message = match kind {
@@ -430,9 +482,27 @@
     message(out, b'I', |_| {});
 }
 
-/// A served value: RowDescription, DataRow and CommandComplete.
-pub fn put_row(out: &mut Vec<u8>, row: &Row) {
-    let c = &row.column;
+/// The beginning of a statement of which so many bytes follow as they are.
+pub fn put_long_query(out: &mut Vec<u8>, beginning: &str, left: usize) {
+    out.push(b'Q');
+    out.extend(((4 + beginning.len() + left) as u32).to_be_bytes());
+    out.extend(beginning.as_bytes());
+}
+
+/// All of a served row up to its value, of which so many bytes follow as they are.
+pub fn put_long_row(out: &mut Vec<u8>, column: &Column, value: usize) {
+    put_description(out, column);
+    out.push(b'D');
+    out.extend((10 + value as u32).to_be_bytes());
+    out.extend(1i16.to_be_bytes());
+    out.extend((value as u32).to_be_bytes());
+}
+
+pub fn put_complete(out: &mut Vec<u8>, tag: &str) {
+    message(out, b'C', |b| put_text(b, tag));
+}
+
+fn put_description(out: &mut Vec<u8>, c: &Column) {
     message(out, b'T', |b| {
         b.extend(1i16.to_be_bytes());
         put_text(b, &c.name);
@@ -443,6 +513,11 @@
         b.extend(c.modifier.to_be_bytes());
         b.extend(c.format.to_be_bytes());
     });
+}
+
+/// A served value: RowDescription, DataRow and CommandComplete.
+pub fn put_row(out: &mut Vec<u8>, row: &Row) {
+    put_description(out, &row.column);
     message(out, b'D', |b| {
         b.extend(1i16.to_be_bytes());
         match &row.value {
@@ -453,7 +528,7 @@
             None => b.extend((-1i32).to_be_bytes()),
         }
     });
-    message(out, b'C', |b| put_text(b, &row.tag));
+    put_complete(out, &row.tag);
 }
 
 pub fn put_error(out: &mut Vec<u8>, fields: &ErrorFields) {
@@ -524,6 +599,11 @@
         })
     }
 
+    /// The text as the client wrote it.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
     /// The text with `d` set to what the proxy itself will wait; all else unchanged.
     pub fn with_patience(&self, ms: u64) -> String {
         format!("{}{ms}{}", &self.text[..self.d_at.start], &self.text[self.d_at.end..])
--- a/src/state.rs
+++ b/src/state.rs
@@ -243,6 +243,8 @@
     pub give_up_at: Micros,
     pub attempts: Vec<Attempt>,
     pub held: bool,
+    /// Its last bytes are still to come: no server works on it.
+    pub coming: bool,
     /// The attempt whose answer has begun to stream.
     pub streaming: Option<usize>,
     pub closed: bool,
@@ -331,6 +333,20 @@
     bytes
 }
 
+/// A request whose bytes were still coming is whole: its time begins, and its attempt is one in hand.
+/// Guards against a client that writes slowly passing for a slow server, or filling its limit.
+pub(crate) fn whole(
+    servers: &mut [Server], requests: &mut BTreeMap<RequestId, Request>, id: RequestId, give_up_at: Micros,
+    now: Micros,
+) {
+    let Some(r) = requests.get_mut(&id).filter(|r| r.coming) else { return };
+    (r.coming, r.arrived, r.give_up_at) = (false, now, give_up_at);
+    for a in r.attempts.iter_mut().filter(|a| a.outcome.is_none()) {
+        a.sent = now;
+        servers[a.server].in_flight += 1;
+    }
+}
+
 /// Takes the age of what is out at each server, in units of the mean class, and its in-flight count.
 pub(crate) fn age(
     servers: &mut [Server], requests: &BTreeMap<RequestId, Request>, scales: &[f64], now: Micros, old: f64,
@@ -339,7 +355,7 @@
         s.pending = 0.0;
         s.count(old);
     }
-    for r in requests.values() {
+    for r in requests.values().filter(|r| !r.coming) {
         for a in r.attempts.iter().filter(|a| a.outcome.is_none()) {
             let s = &mut servers[a.server];
             s.pending = s.pending.max((now - a.sent) as f64 * scales[r.class]);
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -192,3 +192,83 @@
     assert!(old.wait().success());
     new.logged("the other process has ended");
 }
+
+/// A value of 4 MiB, and the longest statement it makes as hexadecimal text.
+const LONG: usize = 4 << 20;
+
+#[test]
+fn long_values_pass_in_pieces_at_their_reader_s_pace_and_a_slow_one_holds_up_nobody() {
+    let long = row(&"x".repeat(LONG));
+    let host = Host::start(move |_, text| match text {
+        _ if text.contains("long") => Reply::Bytes(long.clone()),
+        _ => Reply::Row("v"),
+    });
+    let proxy = Proxy::start(&[&host], 1024);
+    let (mut other, before) = (proxy.client(), proxy.memory_kb());
+    let mut slow: Vec<Client> = (0..12).map(|_| proxy.client()).collect();
+    for (i, client) in slow.iter_mut().enumerate() {
+        client.send(&query(&read(&format!("long{i}"), "history", 9000)));
+        // It has begun to read.
+        assert_eq!(client.stream.peek(&mut [0]).expect("an answer"), 1);
+        assert_eq!(other.ask(&read(&format!("{i}"), "history", 9000)).value.as_deref(), Some("v"));
+    }
+    let grown = proxy.memory_kb().saturating_sub(before);
+    assert!(grown < 8 << 10, "{grown} KB more, for 48 MiB that nobody reads");
+    for client in &mut slow {
+        assert_eq!(client.answer().value.map(|v| v.len()), Some(LONG));
+        // Its connection serves on.
+        assert!(client.ask("").empty);
+    }
+}
+
+#[test]
+fn a_long_statement_reaches_its_host_as_it_was_written_and_one_in_vain_is_answered_before_its_end() {
+    let host = served("v");
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    let text = |id: &str, group: u32| {
+        let value = "ab".repeat(LONG);
+        format!(
+            "/* id={id},c=ingest,d=9000,k=5c,cluster={group} */ INSERT INTO e VALUES ('7f', '\\x{value}')"
+        )
+    };
+    let whole = query(&text("1", 3));
+    let (first, rest) = whole.split_at(10_000);
+    client.send(first);
+    // It is on its way before its end, and takes no place of others.
+    while host.next() != Seen::Opened {}
+    assert_eq!(proxy.client().ask(&read("2", "ingest", 9000)).value.as_deref(), Some("v"));
+    rest.chunks(70_001).for_each(|piece| client.send(piece));
+    assert_eq!(client.answer().value.as_deref(), Some("v"));
+    let passed = [host.query(), host.query()];
+    assert!(passed.contains(&text("1", 3)));
+    let whole = query(&text("3", 8));
+    let (first, rest) = whole.split_at(10_000);
+    client.send(first);
+    let answer = client.answer();
+    assert_eq!((answer.code.as_str(), answer.end), ("42704", End::Ready));
+    client.send(rest);
+    assert_eq!(client.ask(&read("4", "history", 9000)).value.as_deref(), Some("v"));
+    // Whoever stops in the middle hears so.
+    client.send(first);
+    assert_eq!(client.answer().end, End::Ready);
+    let answer = client.answer();
+    assert_eq!((answer.code.as_str(), answer.end), ("08P01", End::Closed));
+}
+
+#[test]
+fn a_long_value_that_breaks_off_ends_its_client_s_connection_and_is_not_asked_for_again() {
+    let half = row(&"x".repeat(LONG))[..LONG / 2].to_vec();
+    let spoilt = row(&"x".repeat(LONG + 1))[..LONG / 2].to_vec();
+    let host = Host::start(move |n, _| match n {
+        0 => Reply::Close(half.clone()),
+        1 => Reply::Bytes(spoilt.clone()),
+        _ => Reply::Row("v"),
+    });
+    let proxy = Proxy::start(&[&host], 1024);
+    let answer = proxy.client().ask(&read("1", "history", 9000));
+    assert_eq!((answer.value, answer.end), (None, End::Closed));
+    // Longer than any value: nothing of it was passed on, and another attempt serves.
+    assert_eq!(proxy.client().ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
+    assert!([host.query(), host.query(), host.query()].iter().filter(|q| q.contains("id=1,")).count() == 1);
+}
