Send the newest held request first, none that will run out of time, and let cold hosts work

From 10 s on, with two replicas released, one out by hand and three cold, 20 to 30% of the attempts at warm hosts timed out while their served ones took 40 ms, and a fifth of the requests was refused. Ruled out: replica lag and queues (probes), stalls of a host (timeouts are spread evenly over time), reads at the primary, the second process's fresh limits alone (limits of both were 1 to 3).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -63,15 +63,19 @@
 const LIMIT: f64 = 4.0;
 /// An answer over this share of its aim is late; over the second share of late ones the limit is cut
 /// to the third figure, not more often than the fourth.
-const LATE_AT: f64 = 0.6;
-const LATE_SHARE: f64 = 0.15;
-const CUT: f64 = 0.7;
+const LATE_AT: f64 = 0.5;
+const LATE_SHARE: f64 = 0.10;
+const CUT: f64 = 0.5;
 const CUT_GAP: Micros = 200_000;
 /// Over this share of timed-out lone attempts of a class, so many times its excess is refused, at most the
 /// third share: some must come through to show that it is over.
 const SHED_OVER: f64 = 0.25;
 const SHED_GAIN: f64 = 2.0;
 const SHED_MOST: f64 = 0.8;
+/// A request is sent only with so many times its class's usual time left.
+const LEAST: f64 = 1.5;
+/// Of its share of the work a cold server gets this part.
+const SLOT: f64 = 0.9;
 /// A server that was full is left alone for this long.
 const FULL_GAP: Micros = 30_000;
 /// Over this share of attempts refused within so long, connections are scarce. A full table refuses within a
@@ -156,9 +160,7 @@
             match event {
                 Event::Request(a) => self.arrive(a, false),
                 Event::Coming(a) => self.arrive(a, true),
-                Event::Whole(id, give_up_at) => {
-                    whole(&mut self.servers, &mut self.requests, *id, *give_up_at, self.now);
-                }
+                Event::Whole(id, at) => whole(&mut self.servers, &mut self.requests, *id, *at, self.now),
                 Event::Outcome(r) => {
                     self.returned(r);
                     self.report(r.server, r.report, false);
@@ -216,9 +218,9 @@
     /// How many servers are listed, and how many of them get nothing, or only one attempt to see.
     pub fn hosts(&self) -> (usize, usize) {
         let listed = || self.servers.iter().filter(|s| s.listed != Listed::Gone);
-        let avoided =
+        let away =
             |s: &&Server| s.listed == Listed::Draining || s.strikes > 0 || self.out_since(s.id).is_some();
-        (listed().count(), listed().filter(avoided).count())
+        (listed().count(), listed().filter(away).count())
     }
 
     /// Since when operators leave a server out, if they do.
@@ -233,16 +235,16 @@
             self.out.push(Action::CloseIdle(server));
             return;
         }
-        self.out_by_hand.remove(&server);
-        let Some(&i) = self.index.get(&server) else { return };
+        let out = self.out_by_hand.remove(&server);
+        let Some(s) = self.index.get(&server).map(|&i| &mut self.servers[i]) else { return };
         if since.saturating_add(self.set.safety.cold) > self.now {
-            self.servers[i].used_again(since, LIMIT);
+            s.used_again(out, since, LIMIT);
         }
     }
 
     /// Slow start without sight of the other routers: each request drew a lot, and a cold server is open to
-    /// the lots of its own slot, as wide as its present share of the work and less where little tips it over.
-    /// All routers together send it no more; further attempts go elsewhere, so turned-away work can't add up.
+    /// the lots of its own slot, as wide as its present share of what the members can do, but not so wide
+    /// that little more tips it over. All routers together send it no more; further attempts go elsewhere.
     fn lets_in(&self, i: usize, r: &Request, primary_work: bool) -> bool {
         let Some(share) = self.servers[i].cold_share(self.now, &self.set.safety) else { return true };
         let tip = self.set.safety.tip_multiple / 2.0;
@@ -261,7 +263,10 @@
         let open: Vec<usize> = g.members.iter().copied().filter(counts).collect();
         let slot = open.iter().position(|&m| m == i).unwrap_or(0) as f64;
         let place = r.lot * open.len() as f64 - slot;
-        r.attempts.is_empty() && (0.0..share * (tip / 2.0).min(1.0)).contains(&place)
+        let able = |&m: &usize| self.servers[m].cold_share(self.now, &self.set.safety).unwrap_or(1.0);
+        let able: f64 = open.iter().filter(|&&m| self.sendable(m, false)).map(able).sum();
+        let part = (open.len() as f64 / able.max(share)).min(tip) * SLOT;
+        r.attempts.is_empty() && (0.0..share * part).contains(&place)
     }
 
     /// The position a server is held to have. Where replicas turn stale reads away themselves, it is as far
@@ -403,9 +408,9 @@
 
     fn dispatch(&mut self, id: RequestId) {
         let Some(r) = self.requests.remove(&id) else { return };
-        let until = r.useful_until(&self.set.classes[r.class]);
-        // Even a quick answer takes a part of the usual time, and the next look comes with a tick.
-        let quick = (self.classes[r.class].p50 / 2.0) as u64;
+        let until = r.sendable_until(&self.set.classes[r.class]);
+        // What gets little more than the usual time mostly runs out of it; the next look comes with a tick.
+        let quick = (self.classes[r.class].p50 * LEAST) as u64;
         let open = self.may_send(&r) && self.now + quick.max(2 * TICK) < until;
         let target = open.then(|| self.route(&r));
         self.requests.insert(id, r);
@@ -446,8 +451,7 @@
             // A try after the aim earns little: send those away for long, the others for a while.
             let most = if self.set.limits.retry_after { self.set.limits.max_retry_after } else { 0 };
             let soon = most / 4 + self.rng.rand_range(0..(most / 4).max(1));
-            let late = self.now - r.arrived + soon >= c.aim;
-            let retry_in = if late { most } else { soon.min(most) };
+            let retry_in = if self.now - r.arrived + soon >= c.aim { most } else { soon.min(most) };
             self.out.push(Action::Refuse { id, retry_in });
         } else {
             self.out.push(Action::Fail(id));
@@ -544,10 +548,9 @@
     /// Latency lists and health. Only served attempts (and time-outs, by at least their wait) are
     /// samples: a replica that turns work away quickly must not look fast.
     fn evidence(&mut self, i: usize, class: usize, outcome: Outcome, latency: Micros) {
-        let scale = self.scale(class);
+        let (scale, value) = (self.scale(class), latency as f64);
         self.adapt(i, class, outcome, latency);
         let s = &mut self.servers[i];
-        let value = latency as f64;
         let lost = outcome == Outcome::ConnectFailed && s.lost(latency >= REFUSED);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Miss) {
             s.last_answer = self.now;
@@ -755,12 +758,13 @@
     /// Held requests go out when they can, and get their final answer once they no longer can.
     fn release(&mut self, group: GroupId) {
         let Some(g) = self.groups.get_mut(&group) else { return };
-        // Most worth per work first.
+        // Most worth per work first, then the newest: the oldest have too little time left to be served.
         let mut held = std::mem::take(&mut g.held);
         let value = |id: &RequestId| {
             self.requests.get(id).map_or(0.0, |r| self.set.classes[r.class].worth / self.classes[r.class].p50)
         };
-        held.sort_by(|a, b| value(b).total_cmp(&value(a)));
+        let came = |id: &RequestId| self.requests.get(id).map_or(0, |r| r.arrived);
+        held.sort_by(|a, b| value(b).total_cmp(&value(a)).then(came(b).cmp(&came(a))));
         for id in held {
             if self.requests.get(&id).is_some_and(|r| !r.closed) {
                 self.dispatch(id);
@@ -861,8 +865,8 @@
         };
         let mut due: Vec<usize> = (0..self.servers.len()).filter(due).collect();
         // Longest unasked first; each router begins elsewhere.
-        let (n, shift) = (self.servers.len(), self.set.ordinal as usize);
-        due.sort_by_key(|&i| (self.servers[i].probed_at, (i + shift) % n));
+        let from = |i: usize| (i + self.set.ordinal as usize) % self.servers.len();
+        due.sort_by_key(|&i| (self.servers[i].probed_at, from(i)));
         for i in due.into_iter().take(self.probes as usize) {
             let s = &mut self.servers[i];
             s.probed_at = Some(self.now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -117,8 +117,11 @@
 
     /// As after a restart, with nothing left of what held it back. Guards against a server that comes
     /// back from the operators' hands and stays unused for what its earlier process showed.
-    pub fn used_again(&mut self, since: Micros, limit: f64) {
-        self.restarted(since);
+    /// It was out since the first time and is used since the second; where the list tells a start between,
+    /// that counts.
+    pub fn used_again(&mut self, out: Option<Micros>, since: Micros, limit: f64) {
+        let known = out.is_some_and(|out| out < self.listed_start && self.listed_start < since);
+        self.restarted(if known { self.listed_start } else { since });
         (self.strikes, self.refusals, self.limit, self.late) = (0, 0, limit, 0.0);
         (self.full_until, self.cut_at) = (0, 0);
     }
@@ -263,6 +266,12 @@
             self.give_up_at
         }
     }
+    /// Until when it may be sent. Guards against a client that waits in vain for most of its time: from
+    /// half of it on, a held one is better off elsewhere.
+    pub fn sendable_until(&self, c: &Class) -> Micros {
+        let half = self.arrived + self.give_up_at.saturating_sub(self.arrived) / 2;
+        self.useful_until(c).min(if self.held { half } else { self.give_up_at })
+    }
     /// The first attempt that is not proven to have had no effect.
     pub fn may_have_run(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran))
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -630,7 +630,62 @@
             break;
         }
     }
-    assert!(answered.is_some_and(|t| t < T0 + 2_000 * MS));
+    assert!(
+        answered.is_some_and(|t| t < T0 + 1_100 * MS),
+        "waited in vain for most of its time: {answered:?}"
+    );
+}
+
+/// Where more comes than can be served, the oldest would be sent only to run out of time.
+#[test]
+fn of_held_requests_the_newest_goes_out_and_one_with_little_time_left_does_not() {
+    let mut rig = Rig::new(settings());
+    rig.at(0, &[list(ListKind::Full, vec![entry(1, Listed::Ready, true, 0)])]);
+    let mut ask = |id| {
+        rig.at(MS, &[]);
+        target(&rig.ask(id, 0), id)
+    };
+    // As many as a server gets that nothing is known of, and three more.
+    assert_eq!((1..=7).filter(|&id| ask(id).is_some()).collect::<Vec<_>>(), [1, 2, 3, 4]);
+    // An answer makes room for itself and one more.
+    let out = rig.end(1, 1, Outcome::Ok, 20 * MS, Role::Primary, 0);
+    assert_eq!([7, 6, 5].map(|id| target(&out, id)), [Some(1), Some(1), None]);
+    // An answer is expected within a quarter of the aim of 400 ms.
+    let soon = brief(8, 0, 0, rig.now);
+    assert!(refused(&rig.at(0, &[soon]), 8));
+}
+
+/// A planned release and a call by hand leave few warm members: their work goes to the cold ones too.
+#[test]
+fn a_cold_server_takes_more_where_others_have_left_but_no_more_than_it_bears() {
+    let mut cold = 0;
+    for seed in 0..400 {
+        let mut router = Router::new(settings(), seed);
+        let mut out = Vec::new();
+        let news = vec![entry(2, Listed::Draining, false, 0), entry(3, Listed::Ready, false, T0 + 1)];
+        router.handle(T0, &[three()], &mut out);
+        router.handle(T0 + MS, &[list(ListKind::Delta, news), request(1, 0, T0)], &mut out);
+        cold += u32::from(target(&out, 1) == Some(3));
+    }
+    // A fifth of a third is 27, half as much again is 40; three times is where it falls over.
+    assert!((28..=48).contains(&cold), "{cold}");
+}
+
+/// What a client still writes is no work yet, and its pace says nothing of the server's.
+#[test]
+fn requests_that_are_still_coming_take_no_place_until_they_are_whole() {
+    let mut rig = Rig::new(settings());
+    for id in 1..20 {
+        let Event::Request(arrival) = request(id, 4, rig.now) else { unreachable!() };
+        assert_eq!(target(&rig.at(0, &[Event::Coming(arrival)]), id), Some(1));
+    }
+    let out = rig.at(1_000 * MS, &[]);
+    assert!(out.iter().all(|a| !matches!(a, Action::Refuse { .. } | Action::Fail(_))));
+    assert_eq!(target(&rig.ask(20, 4), 20), Some(1));
+    let until = rig.now + 2_000 * MS;
+    let whole: Vec<Event> = (1..20).map(|id| Event::Whole(id, until)).collect();
+    rig.at(0, &whole);
+    assert_eq!(target(&rig.ask(21, 4), 21), None);
 }
 
 #[test]
