Where many connections rest, let the longest at rest go for each that comes to rest

Cause: its clients ask once on each connection, hold it, and may open only so many; client.rs let each rest for 2 s, so some 130 connections could ask 65 times a second of 450.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -31,11 +31,13 @@
 const PROMPT: Duration = Duration::from_millis(2_500);
 /// A message that is taken whole has to be within this. Guards against a byte now and then.
 const LONGEST_MESSAGE: Duration = Duration::from_secs(30);
-/// A connection that rests for this long between requests is closed, or after the shorter time where
-/// many do. Guards against clients that ask once and stay: they may open only so many connections,
-/// and those at rest keep them from asking again.
+/// A connection that rests for this long between requests is closed, or after the shorter times where
+/// many do, or twice as many. Guards against clients that ask once and stay.
 const IDLE: Duration = Duration::from_secs(10);
 const IDLE_CROWDED: Duration = Duration::from_secs(2);
+const IDLE_THRONGED: Duration = Duration::from_millis(300);
+/// Where many rest, the longest at rest goes for each newcomer among them, after this long.
+const IDLE_THINNED: Duration = Duration::from_millis(100);
 /// Many are one part in so many of all places.
 const CROWDED: usize = 8;
 /// A connection that never made a request and says nothing for this long gives its place to a newcomer.
@@ -308,6 +310,28 @@
         ids.taken.insert(id).then(|| Claim { all: self, id })
     }
 
+    /// For how long connections may rest between requests, as many as do now.
+    fn may_rest(&self) -> Duration {
+        let (idle, many) = (self.waiting.borrow().idle.len(), self.most.get() / CROWDED);
+        match idle {
+            _ if idle > 2 * many => IDLE_THRONGED,
+            _ if idle > many => IDLE_CROWDED,
+            _ => IDLE,
+        }
+    }
+
+    /// Where many rest and one more comes to rest, tells the one that has rested for longest to go.
+    fn thin_out(&self) {
+        let crowded = self.may_rest() < IDLE;
+        let mut waiting = self.waiting.borrow_mut();
+        if crowded
+            && let Some(oldest) = waiting.idle.first_entry()
+            && oldest.key().0.elapsed() >= IDLE_THINNED
+        {
+            let _ = oldest.remove().try_send(());
+        }
+    }
+
     /// A place among those that wait, from now on.
     fn seat(&self, asked: bool, go: Sender<()>) -> Seat<'_> {
         let mut waiting = self.waiting.borrow_mut();
@@ -856,14 +880,30 @@
             self.partial.get_or_insert(now);
         }
         let until = match self.partial {
-            _ if !self.spoken => (self.heard + PROMPT).min(self.begun + LONGEST_MESSAGE),
-            Some(since) => (self.heard.max(since) + PROMPT).min(since + LONGEST_MESSAGE),
-            None if !self.asked || self.all.waiting.borrow().idle.len() > self.all.most.get() / CROWDED => {
-                now + IDLE_CROWDED
-            }
-            None => now + IDLE,
+            _ if !self.spoken => Some((self.heard + PROMPT).min(self.begun + LONGEST_MESSAGE)),
+            Some(since) => Some((self.heard.max(since) + PROMPT).min(since + LONGEST_MESSAGE)),
+            None if !self.asked => Some(now + IDLE_CROWDED),
+            None => None,
         };
         let (all, go, asked) = (self.all, self.go.1.clone(), self.asked);
+        if until.is_none() {
+            all.thin_out();
+        }
+        let time_is_up = async {
+            match until {
+                Some(until) => drop(Timer::at(until).await),
+                // Looked at again as it rests: a crowd may have come since.
+                None => {
+                    for rest in [IDLE_THRONGED, IDLE_CROWDED, IDLE] {
+                        Timer::at(now + rest).await;
+                        if all.may_rest() <= rest {
+                            break;
+                        }
+                    }
+                }
+            }
+            None
+        };
         // Asked to go in an earlier wait, which ended by itself.
         let _ = go.try_recv();
         let _seat = (resting || !self.asked).then(|| all.seat(self.asked, self.go.0.clone()));
@@ -880,17 +920,17 @@
             if !asked {
                 Timer::after(UNASKED).await;
             }
-            None
+            Some(Ok(0))
         };
         let asked_to_go = async {
             let _ = go.recv().await;
-            None
+            Some(Ok(0))
         };
-        let read = by(until, future::or(read, future::or(closing, asked_to_go))).await;
+        let read = future::or(read, future::or(closing, future::or(asked_to_go, time_is_up))).await;
         self.heard = Instant::now();
         match read {
-            Some(Some(Ok(n))) if n > 0 => Ok(if self.affordable() { Came::Bytes } else { Came::TooMuch }),
-            Some(Some(Err(e))) => Err(e),
+            Some(Ok(n)) if n > 0 => Ok(if self.affordable() { Came::Bytes } else { Came::TooMuch }),
+            Some(Err(e)) => Err(e),
             None if !resting => Ok(Came::TooSlow),
             _ => Ok(Came::End),
         }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -295,6 +295,24 @@
     assert!(stay.iter().all(|(value, _)| value.as_deref() == Some("v")));
 }
 
+#[test]
+fn a_crowd_that_may_open_few_connections_asks_once_on_each_and_stays_is_served_on() {
+    let host = served("v");
+    let proxy = Proxy::start(&[&host], 96);
+    let (mut open, begun) = (std::collections::VecDeque::new(), Instant::now());
+    for id in 0..100 {
+        if open.len() == 12 {
+            let mut oldest: Client = open.pop_front().expect("some");
+            assert_eq!(oldest.answer().end, End::Closed);
+        }
+        let mut client = proxy.client();
+        assert_eq!(client.ask(&read(&format!("{id}"), "history", 9000)).value.as_deref(), Some("v"));
+        open.push_back(client);
+    }
+    // At 2 s of rest each this would take over 14 s.
+    assert!(begun.elapsed().as_secs() < 12, "{:?}", begun.elapsed());
+}
+
 #[test]
 fn what_is_begun_and_not_ended_gets_an_error_as_does_a_client_that_goes_on_with_60_mb() {
     let host = served("v");
