--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -209,6 +209,9 @@
                             if out { "left out" } else { "used again" }
                         );
                         self.core.by_hand(&name, out, since);
+                    } else {
+                        // Warm for long: it says nothing any more.
+                        let _ = fs::remove_file(&path);
                     }
                 }
                 None if starting => eprintln!("upgrade: {}: unreadable, left as it is", path.display()),
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -30,6 +30,10 @@
     for (i, client) in clients.iter_mut().enumerate() {
         client.send(&query(&read(&format!("w{i}"), "ingest", 20_000)));
     }
+    let sent = Instant::now();
+    while proxy.figures()["inflight"] != 29 {
+        assert!(sent.elapsed() < PATIENCE, "{}", proxy.figures());
+    }
     assert_eq!(Client::connect(proxy.address).answer().code, "53300");
     let half = |_| {
         let mut caller = TcpStream::connect(proxy.console).expect("the door is open");
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -485,6 +485,7 @@
     for (from, to, key) in [
         ("127.0.0.1:0", "here", "listen"),
         ("127.0.0.1:1", "", "discovery"),
+        ("\"seed\"", "\"console\":\"here\",\"seed\"", "console"),
         ("1f", "xyz", "seed"),
         ("\"settings\"", "\"setings\"", "settings"),
         ("retryable", "repeatable", "effect"),
