Say when to come again also where a refusal is none of the module's

Seen on reading: a long statement whose host broke off, and a request before any list is known, were refused without the field D, though the settings allow it (client.rs, retry_in 0). Now a quarter of the longest wait that clients heed, as the module's own shortest.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -415,6 +415,11 @@
     }
 }
 
+/// When to come again, in milliseconds, if that is to be said.
+fn advice(retry_in: Micros) -> Option<u64> {
+    Some(retry_in.div_ceil(1_000)).filter(|&ms| ms > 0)
+}
+
 /// A last error.
 fn put_fatal(out: &mut Vec<u8>, code: &str, message: &str) {
     let fields = ErrorFields { code: code.into(), message: message.into(), fatal: true, retry_in_ms: None };
@@ -661,7 +666,9 @@
                     ended(outcome, note);
                     match row {
                         Some(row) => return Some(Verdict::Served(row)),
-                        None if once && outcome.never_ran() => return Some(Verdict::Refused { retry_in: 0 }),
+                        None if once && outcome.never_ran() => {
+                            return Some(Verdict::Refused { retry_in: core.retry_in });
+                        }
                         None if once => return Some(Verdict::Failed),
                         None => {}
                     }
@@ -672,7 +679,7 @@
                     }
                     ended(outcome, Default::default());
                     if once {
-                        return Some(Verdict::Refused { retry_in: 0 });
+                        return Some(Verdict::Refused { retry_in: core.retry_in });
                     }
                 }
                 Happened::Ordered(other) => {
@@ -769,7 +776,8 @@
             .ok_or_else(|| error(code::UNDEFINED_OBJECT, format!("no class {:?} here", statement.class)))?;
         if !core.knows_servers() {
             core.count(class, |c| &mut c.busy);
-            return Err(error(code::CANNOT_CONNECT_NOW, "no database host is known yet".into()));
+            let refused = error(code::CANNOT_CONNECT_NOW, "no database host is known yet".into());
+            return Err(ErrorFields { retry_in_ms: advice(core.retry_in), ..refused });
         }
         if !core.knows_group(statement.group) {
             let what = format!("no group {} in the list of database hosts", statement.group);
@@ -802,7 +810,7 @@
                 let fields = ErrorFields {
                     code: code::TOO_MANY_CONNECTIONS.into(),
                     message: "refused: trying again later is harmless".into(),
-                    retry_in_ms: Some(retry_in.div_ceil(1_000)).filter(|&ms| ms > 0),
+                    retry_in_ms: advice(retry_in),
                     fatal: false,
                 };
                 pg::put_error(&mut self.out, &fields);
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -146,6 +146,8 @@
 pub struct Core {
     pub clock: Clock,
     pub dialect: Dialect,
+    /// When to come again after a refusal that is none of the module's; 0 where the settings allow no advice.
+    pub retry_in: Micros,
     inner: RefCell<Inner>,
     kept: Micros,
     timer_set: (Sender<()>, Receiver<()>),
@@ -158,6 +160,8 @@
     /// A core that knows nothing yet; what the hosts' owner must do comes out of the receiver.
     pub fn new(settings: Settings, dialect: Dialect, seed: u64) -> (Core, Receiver<Chore>) {
         let (chores, todo) = unbounded();
+        let limits = &settings.limits;
+        let retry_in = if limits.retry_after { limits.max_retry_after / 4 } else { 0 };
         let kept = settings.safety.cold.saturating_mul(KEPT_COLD);
         let inner = Inner {
             router: Router::new(settings, seed),
@@ -174,6 +178,7 @@
         let core = Core {
             clock: Clock::start(),
             dialect,
+            retry_in,
             inner: RefCell::new(inner),
             kept,
             timer_set: async_channel::bounded(1),
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -410,7 +410,8 @@
     // No list is known: nothing can be served before discovery speaks.
     let proxy = Proxy::start(&[], 1024);
     let mut client = proxy.client();
-    assert_eq!(client.ask(&read("1", "history", 9000)).code, "57P03");
+    let answer = client.ask(&read("1", "history", 9000));
+    assert_eq!((answer.code.as_str(), answer.detail.as_deref()), ("57P03", Some("250")));
     client.send(&[query(""), query(&read("2", "history", 9000))].concat());
     // Another client is answered meanwhile: the empty query waits, and what follows it.
     assert_eq!(proxy.client().ask(&read("3", "history", 9000)).code, "57P03");
