Let the module know plain requests, and what a request is expected to take

Cause: a statement without a comment carries no key and no bound that a server could check, and its work differs from that of its class. An arrival now says that it is plain: a keyed class then counts as one that must never run twice, and a bounded read goes only where the known position is inside the bound and past the session's last commit. An expectation replaces the class's usual time where the module asks whether enough time is left, in what order held requests go out, and in the unit of a latency sample.

--- a/src/api.rs
+++ b/src/api.rs
@@ -274,7 +274,7 @@
 }
 
 /// A client's request; the router now owes one final answer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Arrival {
     /// Its id.
     pub id: RequestId,
@@ -288,6 +288,10 @@
     pub group: GroupId,
     /// Age of the session's last write in ms, where carried; 0 for none.
     pub token_ms: f32,
+    /// Servers know nothing of its terms: they drop no repeat of it, and do not check its bound.
+    pub plain: bool,
+    /// What an attempt at it is expected to take; 0 where only its class tells.
+    pub expected: Micros,
 }
 
 /// The end of an attempt.
--- a/src/bin/sillfold-benchlink/main.rs
+++ b/src/bin/sillfold-benchlink/main.rs
@@ -167,7 +167,15 @@
             }
             let token_ms = c.f32("WORK_ITEM.tokenMs")?;
             c.u8("WORK_ITEM.flags")?;
-            Event::Request(Arrival { id, class, session, give_up_at, group: group as u32, token_ms })
+            Event::Request(Arrival {
+                id,
+                class,
+                session,
+                give_up_at,
+                group: group as u32,
+                token_ms,
+                ..Arrival::default()
+            })
         }
         4 => {
             let id = c.u32("HEADERS.ticket")?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,7 +32,8 @@
 //! let mut actions = Vec::new();
 //! let list = Event::List { kind: ListKind::Full, entries: Arc::from([entry]) };
 //! let read = Event::Request(Arrival {
-//!     id: 1, class: 0, session: 0, give_up_at: 2_000_000, group: 0, token_ms: 0.0,
+//!     id: 1, class: 0, session: 0, give_up_at: 2_000_000, group: 0,
+//!     ..Arrival::default()
 //! });
 //! router.handle(1_000_000, &[list, read], &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, server: 41, .. })));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -83,6 +83,8 @@
 const SCARCE: f64 = 0.2;
 const REFUSED: Micros = 50_000;
 const SCARCE_OLD: f64 = 0.95;
+/// Known positions are kept fresh for so long after a plain request.
+const PLAIN_FOR: Micros = 5_000_000;
 /// Sessions remembered; past it the oldest fold into a floor that binds every session.
 const SESSIONS: usize = 50_000;
 
@@ -117,6 +119,8 @@
     /// Recent share of attempts that got no connection.
     unconnected: f64,
     listed_once: bool,
+    /// Until when plain reads are expected, for which known positions alone count.
+    plain_until: Micros,
     due: Due,
 }
 
@@ -141,6 +145,7 @@
             chat: 0.0,
             unconnected: 0.0,
             listed_once: false,
+            plain_until: 0,
             due: Due::default(),
             set: settings,
         }
@@ -190,11 +195,13 @@
     }
 
     /// The position that a read of this request must not be older than.
-    fn token(&self, class: u8, session: u64, token_ms: f32) -> Micros {
-        let need = self.set.classes[usize::from(class)].need;
+    fn token(&self, a: &Arrival) -> Micros {
+        let (need, token_ms) = (self.set.classes[usize::from(a.class)].need, a.token_ms);
         match self.set.tokens {
+            // The proxy itself saw the write: a bounded read is to see it too.
+            _ if a.plain && token_ms > 0.0 => self.now.saturating_sub((token_ms * 1e3) as u64) + 1_000,
             _ if need != Need::Session => 0,
-            Tokens::Remembered => self.sessions.token(session),
+            Tokens::Remembered => self.sessions.token(a.session),
             Tokens::Carried if token_ms == 0.0 => 0,
             // Rounded up by a millisecond; an age that makes no sense asks for the present.
             Tokens::Carried if token_ms > 0.0 => self.now.saturating_sub((token_ms * 1e3) as u64) + 1_000,
@@ -273,10 +280,11 @@
     /// behind the clock as when last heard: one of hundreds of routers hears a server once in many seconds,
     /// and known positions alone would send every bounded read to the primary. One unheard for long may try,
     /// but not one that started lately: it goes on from an old copy, and a probe will tell.
-    fn reached(&self, i: usize) -> Micros {
+    fn reached(&self, i: usize, plain: bool) -> Micros {
         let s = &self.servers[i];
         let known = s.position.unwrap_or(0);
-        if self.set.lag_check == LagCheck::Unchecked || (s.unheard && self.blind()) {
+        // Of a plain read no server turns one away: only what is known counts.
+        if plain || self.set.lag_check == LagCheck::Unchecked || (s.unheard && self.blind()) {
             return known;
         }
         let trusted = s.heard_at > 0 && s.heard_at + LIST_AGE + 2 * s.lag > self.now;
@@ -291,8 +299,11 @@
     fn current_enough(&self, i: usize, r: &Request) -> bool {
         match self.set.classes[r.class].need {
             Need::Any => true,
-            Need::Bounded(bound) => self.reached(i).saturating_add(bound) >= self.now,
-            Need::Session => self.reached(i) >= r.token,
+            Need::Bounded(bound) => {
+                let reached = self.reached(i, r.plain);
+                reached.saturating_add(bound) >= self.now && (!r.plain || reached >= r.token)
+            }
+            Need::Session => self.reached(i, r.plain) >= r.token,
             Need::Fresh | Need::Write => false,
         }
     }
@@ -318,7 +329,7 @@
             if !self.sendable(i, false) || !self.lets_in(i, r, false) {
                 continue;
             }
-            let behind = self.now.saturating_sub(self.reached(i));
+            let behind = self.now.saturating_sub(self.reached(i, false));
             let latency = s.adjusted.unwrap_or(lowest).max(s.pending);
             let mut points =
                 score(latency, s.q, s.wait) * (1.0 + ERROR_POINTS * s.errors(self.now, ERROR_HALF));
@@ -333,7 +344,7 @@
                 rank += 1;
             } else if !self.current_enough(i, r) {
                 // Where replicas check, the most advanced first; elsewhere the data would be stale.
-                if self.set.lag_check == LagCheck::Unchecked {
+                if r.plain || self.set.lag_check == LagCheck::Unchecked {
                     continue;
                 }
                 points = behind as f64;
@@ -371,6 +382,8 @@
             _ if r.outstanding() > 0 => false,
             Effect::Safe => true,
             Effect::Unsafe => r.may_have_run().is_none(),
+            // Without a key nobody drops a repeat.
+            Effect::Keyed(..) if r.plain => r.may_have_run().is_none(),
             // Every scope covers the request's own group, except a zone; leave room for delivery.
             Effect::Keyed(scope, window) => r.may_have_run().is_none_or(|a| {
                 scope != DedupScope::Zone && self.now - a.sent + 50_000 < window - window / 20
@@ -380,7 +393,8 @@
 
     fn may_refuse(&self, r: &Request) -> bool {
         let effect = self.set.classes[r.class].effect;
-        matches!(effect, Effect::Safe | Effect::Keyed(DedupScope::All, _)) || r.may_have_run().is_none()
+        let repeatable = matches!(effect, Effect::Keyed(DedupScope::All, _)) && !r.plain;
+        effect == Effect::Safe || repeatable || r.may_have_run().is_none()
     }
 
     fn arrive(&mut self, a: &Arrival, coming: bool) {
@@ -390,11 +404,12 @@
         if self.set.classes.len() <= usize::from(a.class) {
             return self.out.push(Action::Refuse { id: a.id, retry_in: 0 });
         }
-        let token = self.token(a.class, a.session, a.token_ms);
-        let (class, group, session, give_up_at) = (usize::from(a.class), a.group, a.session, a.give_up_at);
+        let (token, class) = (self.token(a), usize::from(a.class));
+        self.plain_until = if a.plain { self.now + PLAIN_FOR } else { self.plain_until };
         let (arrived, lot) = (self.now, self.rng.rand_float());
-        let r =
-            Request { lot, class, group, session, token, arrived, give_up_at, coming, ..Request::default() };
+        let &Arrival { group, session, give_up_at, plain, expected, .. } = a;
+        let told = Request { group, session, give_up_at, plain, expected, ..Request::default() };
+        let r = Request { lot, class, token, arrived, coming, ..told };
         if self.requests.insert(a.id, r).is_some() {
             return;
         }
@@ -406,11 +421,16 @@
         }
     }
 
+    /// What an attempt at a request usually takes: as told, else as its class shows.
+    fn usual(&self, r: &Request) -> f64 {
+        if r.expected > 0 { r.expected as f64 } else { self.classes[r.class].p50 }
+    }
+
     fn dispatch(&mut self, id: RequestId) {
         let Some(r) = self.requests.remove(&id) else { return };
         let until = r.sendable_until(&self.set.classes[r.class]);
         // What gets little more than the usual time mostly runs out of it; the next look comes with a tick.
-        let quick = (self.classes[r.class].p50 * LEAST) as u64;
+        let quick = (self.usual(&r) * LEAST) as u64;
         let open = self.may_send(&r) && self.now + quick.max(2 * TICK) < until;
         let target = open.then(|| self.route(&r));
         self.requests.insert(id, r);
@@ -480,7 +500,7 @@
         }
         a.outcome = Some(outcome);
         let i = a.server;
-        let (class, session, group, coming) = (r.class, r.session, r.group, r.coming);
+        let (class, session, group, coming, expected) = (r.class, r.session, r.group, r.coming, r.expected);
         r.closed |= e.finished;
         let closed = r.closed;
         let need = self.set.classes[class].need;
@@ -488,7 +508,7 @@
         s.in_flight = s.in_flight.saturating_sub(u32::from(!coming));
         s.count(Q_OLD);
         self.connections(i, outcome, e.latency);
-        self.evidence(i, class, outcome, e.latency);
+        self.evidence(i, class, outcome, e.latency, expected);
         // A member that hands its role over still calls itself primary while it turns writes away: taken for
         // one each time, a held write would spend all its attempts on it within a moment.
         let untrue = outcome == Outcome::Miss && matches!(need, Need::Write | Need::Fresh);
@@ -518,7 +538,7 @@
         let Some(r) = self.requests.get(&id) else { return };
         if !outcome.never_ran() {
             // What failed at once cost its server next to nothing, and the next try may serve.
-            let quick = latency as f64 / self.classes[r.class].p50.max(1.0);
+            let quick = latency as f64 / self.usual(r).max(1.0);
             let cost = if matches!(outcome, Outcome::Error | Outcome::Reset) { quick.min(1.0) } else { 1.0 };
             if self.tokens < cost {
                 return self.finish(id);
@@ -547,8 +567,12 @@
 
     /// Latency lists and health. Only served attempts (and time-outs, by at least their wait) are
     /// samples: a replica that turns work away quickly must not look fast.
-    fn evidence(&mut self, i: usize, class: usize, outcome: Outcome, latency: Micros) {
-        let (scale, value) = (self.scale(class), latency as f64);
+    fn evidence(&mut self, i: usize, class: usize, outcome: Outcome, latency: Micros, expected: Micros) {
+        let (mut scale, value) = (self.scale(class), latency as f64);
+        if expected > 0 && self.mean > 0.0 {
+            // Guards against a server that got the long statements passing for a slow one.
+            scale = self.mean / expected as f64;
+        }
         self.adapt(i, class, outcome, latency);
         let s = &mut self.servers[i];
         let lost = outcome == Outcome::ConnectFailed && s.lost(latency >= REFUSED);
@@ -761,7 +785,7 @@
         // Most worth per work first, then the newest: the oldest have too little time left to be served.
         let mut held = std::mem::take(&mut g.held);
         let value = |id: &RequestId| {
-            self.requests.get(id).map_or(0.0, |r| self.set.classes[r.class].worth / self.classes[r.class].p50)
+            self.requests.get(id).map_or(0.0, |r| self.set.classes[r.class].worth / self.usual(r))
         };
         let came = |id: &RequestId| self.requests.get(id).map_or(0, |r| r.arrived);
         held.sort_by(|a, b| value(b).total_cmp(&value(a)).then(came(b).cmp(&came(a))));
@@ -852,15 +876,17 @@
             _ => None,
         });
         let tightest = bounds.min().unwrap_or(Micros::MAX);
+        let plain = self.now < self.plain_until;
         let due = |i: &usize| {
             let s = &self.servers[*i];
             let unheard = s.position.is_none() || s.unheard;
-            let behind = unheard || self.reached(*i).saturating_add(tightest) < self.now;
+            let behind = unheard || self.reached(*i, plain).saturating_add(tightest) < self.now;
             let due = s.probed_at.is_none_or(|t| t + PROBE_GAP <= self.now && tightest < Micros::MAX);
             // Where answers tell positions, one that answers, or is still cold, need not be asked.
             let quiet = s.in_flight == 0 && s.last_answer + PROBE_GAP <= self.now;
-            let fit =
-                self.blind() || (quiet && self.servers[*i].cold_share(self.now, &self.set.safety).is_none());
+            let fit = plain
+                || self.blind()
+                || (quiet && self.servers[*i].cold_share(self.now, &self.set.safety).is_none());
             s.listed == Listed::Ready && self.out_since(s.id).is_none() && behind && due && fit
         };
         let mut due: Vec<usize> = (0..self.servers.len()).filter(due).collect();
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -279,6 +279,7 @@
             give_up_at: call.give_up_at,
             group: call.group,
             token_ms: age,
+            ..Arrival::default()
         };
         self.feed(if coming { Event::Coming(arrival) } else { Event::Request(arrival) });
         Ticket { core: self, id, mailbox, answered: Cell::new(false) }
--- a/src/state.rs
+++ b/src/state.rs
@@ -248,6 +248,10 @@
     pub held: bool,
     /// Its last bytes are still to come: no server works on it.
     pub coming: bool,
+    /// Servers know nothing of its terms.
+    pub plain: bool,
+    /// What an attempt is expected to take; 0 where only the class tells.
+    pub expected: Micros,
     /// The attempt whose answer has begun to stream.
     pub streaming: Option<usize>,
     pub closed: bool,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -68,12 +68,28 @@
 }
 
 fn request(id: RequestId, class: u8, now: Micros) -> Event {
-    Event::Request(Arrival { id, class, session: 9, give_up_at: now + 2_000 * MS, group: 0, token_ms: 0.0 })
+    Event::Request(Arrival {
+        id,
+        class,
+        session: 9,
+        give_up_at: now + 2_000 * MS,
+        group: 0,
+        token_ms: 0.0,
+        ..Arrival::default()
+    })
 }
 
 /// A request of no session that its client gives up after 100 ms.
 fn brief(id: RequestId, class: u8, group: GroupId, now: Micros) -> Event {
-    Event::Request(Arrival { id, class, session: 0, give_up_at: now + 100 * MS, group, token_ms: 0.0 })
+    Event::Request(Arrival {
+        id,
+        class,
+        session: 0,
+        give_up_at: now + 100 * MS,
+        group,
+        token_ms: 0.0,
+        ..Arrival::default()
+    })
 }
 
 struct Rig {
@@ -336,6 +352,7 @@
             give_up_at: now + 2_000 * MS,
             group: 0,
             token_ms: 200.0,
+            ..Arrival::default()
         });
         let out = rig.at(0, &[read]);
         reached[target(&out, id).unwrap_or(0) as usize] += 1;
@@ -363,7 +380,15 @@
         let mut rig = Rig::new(settings());
         rig.heard(2, Role::Replica, 10 * MS);
         let give_up_at = rig.now + 2_000 * MS;
-        let read = Event::Request(Arrival { id: 1, class: 2, session: 9, give_up_at, group: 0, token_ms });
+        let read = Event::Request(Arrival {
+            id: 1,
+            class: 2,
+            session: 9,
+            give_up_at,
+            group: 0,
+            token_ms,
+            ..Arrival::default()
+        });
         let out = rig.at(0, &[read]);
         assert_eq!(target(&out, 1), Some(1));
     }
@@ -986,7 +1011,15 @@
                 },
             );
             let session = dice.rand_range(1..5);
-            events.push(Event::Request(Arrival { id: step, class, session, give_up_at, group: 0, token_ms }));
+            events.push(Event::Request(Arrival {
+                id: step,
+                class,
+                session,
+                give_up_at,
+                group: 0,
+                token_ms,
+                ..Arrival::default()
+            }));
         }
         for (id, r) in &mut open {
             let mut i = 0;
@@ -1157,3 +1190,112 @@
         assert!(answers.values().all(|&n| n == 1), "{answers:?}");
     }
 }
+
+/// A request whose terms only the proxy knows.
+fn plain(id: RequestId, class: u8, now: Micros, token_ms: f32, expected: Micros) -> Event {
+    let give_up_at = now + 2_000 * MS;
+    Event::Request(Arrival { id, class, give_up_at, token_ms, plain: true, expected, ..Arrival::default() })
+}
+
+#[test]
+fn a_plain_write_of_a_keyed_class_is_never_sent_again_once_it_may_have_run() {
+    use Outcome::*;
+    for outcome in [Reset, Error, Timeout, ConnectFailed, Full, Miss] {
+        for keyless in [false, true] {
+            let mut rig = Rig::new(settings());
+            let event = if keyless { plain(1, 5, T0, 0.0, 0) } else { request(1, 5, T0) };
+            assert_eq!(target(&rig.at(0, &[event]), 1), Some(1), "the list's primary");
+            rig.end(1, 1, outcome, 20 * MS, Role::Primary, 0);
+            rig.at(300 * MS, &[]);
+            rig.at(300 * MS, &[Event::Timer(0)]);
+            let again = rig.sent[&1] > 1;
+            assert_eq!(again, !keyless || outcome.never_ran(), "{outcome:?}, without a key: {keyless}");
+        }
+    }
+}
+
+#[test]
+fn a_plain_write_that_may_have_run_fails_and_one_that_never_ran_is_refused() {
+    for (outcome, refused) in [(Outcome::Reset, false), (Outcome::ConnectFailed, true)] {
+        let mut set = settings();
+        set.limits.max_attempts = 1;
+        let mut rig = Rig::new(set);
+        rig.at(0, &[plain(1, 5, T0, 0.0, 0)]);
+        let out = rig.end(1, 1, outcome, 20 * MS, Role::Primary, 0);
+        let is_refused = out.iter().any(|a| matches!(a, Action::Refuse { id: 1, .. }));
+        assert_eq!((is_refused, out.contains(&Action::Fail(1))), (refused, !refused), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_plain_bounded_read_goes_only_where_the_position_is_known_and_past_its_sessions_write() {
+    // With servers that check a bound themselves, commented reads may try; plain ones may not.
+    for check in [LagCheck::Unchecked, LagCheck::Wait(100 * MS)] {
+        for (behind, token_ms, replica) in
+            [(10, 0.0, true), (200, 0.0, true), (310, 0.0, false), (200, 100.0, false), (50, 100.0, true)]
+        {
+            let mut set = settings();
+            set.lag_check = check;
+            let mut rig = Rig::new(set);
+            for server in [2, 3] {
+                rig.heard(server, Role::Replica, behind * MS);
+            }
+            let mut reached = [0; 4];
+            for id in 10..60 {
+                let event = plain(id, 1, rig.now, token_ms, 0);
+                reached[target(&rig.at(0, &[event]), id).unwrap_or(0) as usize] += 1;
+                rig.at(0, &[Event::ClientGone(id)]);
+            }
+            let went = reached[2] + reached[3] > 0;
+            assert_eq!(went, replica, "{behind} ms behind, token {token_ms}: {reached:?}, {check:?}");
+        }
+    }
+}
+
+#[test]
+fn an_expectation_counts_in_place_of_what_its_class_shows() {
+    let mut rig = Rig::new(settings());
+    for server in [2, 3] {
+        rig.heard(server, Role::Replica, 0);
+    }
+    // Too little is left for what takes 1.8 s; plenty for what its class takes.
+    let out = rig.at(0, &[plain(70, 0, rig.now, 0.0, 1_800 * MS), plain(71, 0, rig.now, 0.0, 0)]);
+    assert!(out.iter().any(|a| matches!(a, Action::Refuse { id: 70, .. })), "{out:?}");
+    assert!(target(&out, 71).is_some());
+    // A server that served long statements as slowly as expected is not held for slow.
+    let share = |known: bool| {
+        let mut rig = Rig::new(settings());
+        for server in [2, 3] {
+            rig.heard(server, Role::Replica, 0);
+        }
+        let mut id = 100;
+        // Each serves alone for a while: 3 statements that take 200 ms, 2 such as take 20 ms.
+        for (server, other, latency) in [(3, 2, 200), (2, 3, 20)].repeat(60) {
+            let expected = if known { latency } else { 0 };
+            let only =
+                [entry(server, Listed::Ready, false, 0), entry(other, Listed::Draining, false, 0)].to_vec();
+            rig.at(0, &[list(ListKind::Delta, only)]);
+            id += 1;
+            let event = plain(id, 0, rig.now, 0.0, expected * MS);
+            if target(&rig.at(MS, &[event]), id) == Some(server) {
+                rig.end(id, server, Outcome::Ok, latency * MS, Role::Replica, 0);
+            }
+        }
+        let ready = |id| entry(id, Listed::Ready, false, 0);
+        let both = vec![entry(1, Listed::Draining, true, 0), ready(2), ready(3)];
+        rig.at(0, &[list(ListKind::Delta, both)]);
+        let mut to_three = 0;
+        for _ in 0..200 {
+            id += 1;
+            let event = plain(id, 0, rig.now, 0.0, 0);
+            if let Some(to) = target(&rig.at(MS, &[event]), id) {
+                to_three += u32::from(to == 3);
+                rig.at(0, &[Event::ClientGone(id)]);
+                rig.end(id, to, Outcome::Cancelled, 0, Role::Replica, 0);
+            }
+        }
+        to_three
+    };
+    let (known, unknown) = (share(true), share(false));
+    assert!(known > 3 * unknown.max(1), "{known} with the expectation, {unknown} without");
+}
