--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1243,8 +1243,10 @@
             let mut reached = [0; 4];
             for id in 10..60 {
                 let event = plain(id, 1, rig.now, token_ms, 0);
-                reached[target(&rig.at(0, &[event]), id).unwrap_or(0) as usize] += 1;
+                let to = target(&rig.at(0, &[event]), id).unwrap_or(0);
+                reached[to as usize] += 1;
                 rig.at(0, &[Event::ClientGone(id)]);
+                rig.end(id, to, Outcome::Cancelled, 0, Role::Replica, behind * MS);
             }
             // Nor where the primary can't be had: a replica outside the bound would answer.
             rig.at(0, &[list(ListKind::Delta, vec![entry(1, Listed::Draining, true, 0)])]);
