--- /dev/null
+++ b/crates/route/src/cost.rs
@@ -0,0 +1,163 @@
+//! What a statement costs: learnt for each shape, guessed for a new one from its syntax tree and from what
+//! other shapes of its tables took. It owns the sketches. It must never look at a statement's text, and
+//! never give an estimate without a bound on it.
+
+use quick_cache::unsync::Cache;
+use sillfold_sql::{Analysis, Features};
+
+/// Buckets a quarter octave wide: from 16 us on, the last for all beyond about 56 s.
+const BUCKETS: usize = 88;
+const SMALLEST_US: f64 = 16.0;
+const PER_OCTAVE: f64 = 4.0;
+/// At this sum all counts are halved, so that what was long ago fades.
+const FADES_AT: u16 = 256;
+/// So many samples make a sketch count alone; below, the guess counts in proportion.
+const SURE: u16 = 8;
+/// The longest estimate.
+const LONGEST_US: f64 = 60_000_000.0;
+/// Tables whose experience is kept.
+const TABLES: usize = 1024;
+/// Weight of the old value in a table's experience, and of how many tables of a statement one is kept.
+const TABLE_OLD: f64 = 0.9;
+const TABLES_EACH: usize = 8;
+
+/// Service times of one shape: counts by size that fade as new ones come. 180 bytes, no heap.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sketch {
+    counts: [u16; BUCKETS],
+    sum: u16,
+}
+
+impl Default for Sketch {
+    fn default() -> Sketch {
+        Sketch { counts: [0; BUCKETS], sum: 0 }
+    }
+}
+
+impl Sketch {
+    /// Takes in a service time in microseconds.
+    pub fn add(&mut self, us: u64) {
+        let at = ((us.max(1) as f64 / SMALLEST_US).log2() * PER_OCTAVE).floor().max(0.0) as usize;
+        self.counts[at.min(BUCKETS - 1)] += 1;
+        self.sum += 1;
+        if self.sum >= FADES_AT {
+            self.counts.iter_mut().for_each(|c| *c /= 2);
+            self.sum = self.counts.iter().sum();
+        }
+    }
+
+    /// Samples that still count.
+    pub fn len(&self) -> u16 {
+        self.sum
+    }
+
+    /// Whether nothing counts.
+    pub fn is_empty(&self) -> bool {
+        self.sum == 0
+    }
+
+    /// The service time at a quantile from 0 to 1, in microseconds; within 9 % where it is over 16 us.
+    pub fn quantile(&self, q: f64) -> Option<f64> {
+        let rank = (q * f64::from(self.sum)).ceil().max(1.0) as u32;
+        let mut seen = 0;
+        let at = self.counts.iter().position(|&c| {
+            seen += u32::from(c);
+            seen >= rank
+        })?;
+        // The middle of the bucket, by ratio.
+        Some(SMALLEST_US * ((at as f64 + 0.5) / PER_OCTAVE).exp2())
+    }
+}
+
+/// What a statement is expected to take, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// What half of the runs take at most.
+    pub p50_us: u64,
+    /// What 95 of 100 take at most.
+    pub p95_us: u64,
+    /// Samples behind it.
+    pub samples: u16,
+}
+
+/// What shapes of a table took beside what their trees let expect, by its binary logarithm.
+#[derive(Clone, Copy, Default)]
+struct Experience {
+    log_ratio: f64,
+    weight: f64,
+}
+
+/// The estimator: the guess for trees, and what tables taught.
+pub struct Costs {
+    base_us: f64,
+    tables: Cache<Box<str>, Experience>,
+    all: Experience,
+}
+
+impl Experience {
+    fn learn(&mut self, log_ratio: f64) {
+        self.log_ratio = self.weight * TABLE_OLD * self.log_ratio + log_ratio;
+        self.weight = self.weight * TABLE_OLD + 1.0;
+        self.log_ratio /= self.weight;
+    }
+}
+
+impl Costs {
+    /// An estimator for which the simplest statement takes this long, in microseconds, until it learns better.
+    pub fn new(base_us: u64) -> Costs {
+        Costs { base_us: base_us.max(1) as f64, tables: Cache::new(TABLES), all: Experience::default() }
+    }
+
+    /// What the tree alone lets expect.
+    fn guess(&self, f: &Features) -> f64 {
+        let part = |count: u16, each: f64| f64::from(count.min(20)) * each;
+        let work =
+            1.0 + part(f.joins, 1.0) + part(f.aggregates, 1.0) + part(f.sorts, 0.5) + part(f.subqueries, 0.5);
+        let unbounded = if f.limited || f.keyed { 1.0 } else { 2.0 };
+        let scans = 1.0 + part(f.unfiltered, 3.0);
+        let keyed = if f.keyed { 0.5 } else { 1.0 };
+        self.base_us * work * unbounded * scans * keyed
+    }
+
+    /// How much more than guessed its tables' shapes took, else all shapes.
+    fn ratio(&self, analysis: &Analysis) -> f64 {
+        let tables = analysis.tables.iter().take(TABLES_EACH);
+        let known: Vec<Experience> = tables.filter_map(|t| self.tables.peek(&**t).copied()).collect();
+        if known.is_empty() {
+            // Only part of what others took holds for a table of which nothing is known.
+            return (self.all.log_ratio * 0.5).exp2();
+        }
+        // A statement takes as long as its slowest table.
+        known.iter().map(|e| e.log_ratio).fold(f64::MIN, f64::max).exp2()
+    }
+
+    /// The estimate for a shape with this sketch.
+    pub fn estimate(&self, analysis: &Analysis, sketch: &Sketch) -> Estimate {
+        let guess = (self.guess(&analysis.features) * self.ratio(analysis)).clamp(1.0, LONGEST_US);
+        let share = f64::from(sketch.len().min(SURE)) / f64::from(SURE);
+        let at = |q: f64, guess: f64| {
+            let seen = sketch.quantile(q).unwrap_or(guess);
+            // By ratio: one sample of a second and a guess of a millisecond are 30 ms.
+            (seen.ln() * share + guess.ln() * (1.0 - share)).exp().clamp(1.0, LONGEST_US) as u64
+        };
+        let (p50_us, p95_us) = (at(0.5, guess), at(0.95, guess * 4.0));
+        Estimate { p50_us, p95_us: p95_us.max(p50_us), samples: sketch.len() }
+    }
+
+    /// A run of a shape was served in this time; its sketch takes it in, and its tables do.
+    pub fn learn(&mut self, analysis: &Analysis, sketch: &mut Sketch, us: u64) {
+        sketch.add(us);
+        let ratio = (us.max(1) as f64 / self.guess(&analysis.features)).log2();
+        self.all.learn(ratio);
+        for table in analysis.tables.iter().take(TABLES_EACH) {
+            match self.tables.get_mut(&**table) {
+                Some(mut known) => known.learn(ratio),
+                None => {
+                    let mut new = Experience::default();
+                    new.learn(ratio);
+                    self.tables.insert(table.clone(), new);
+                }
+            }
+        }
+    }
+}
--- a/crates/sql/src/lex.rs
+++ b/crates/sql/src/lex.rs
@@ -269,6 +269,14 @@
         self.unsure
     }
 
+    /// Gives memory back beyond so many bytes of shape. Guards against one long statement's keeping it.
+    pub fn shrink(&mut self, bytes: usize) {
+        if self.shape.capacity() > bytes {
+            self.shape = String::new();
+            self.slots = Vec::new();
+        }
+    }
+
     /// Reads bytes as they came from a client.
     pub fn read_bytes<'t>(&mut self, bytes: &'t [u8]) -> Result<&'t str, Unreadable> {
         let text = std::str::from_utf8(bytes).map_err(|_| Unreadable::Encoding)?;
