--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -164,6 +164,16 @@
         }
     }
 
+    /// Other options from now on. Shapes and what was learnt of them stay, unless their verdicts may differ.
+    pub fn replace(&mut self, options: Options) {
+        let keys = |o: &Options| (o.cache_bytes, o.longest_kept, o.bounds, o.additions.clone(), o.base_us);
+        if keys(&options) == keys(&self.options) {
+            self.options = options;
+        } else {
+            *self = Desk::new(options);
+        }
+    }
+
     /// The rules, in order.
     pub fn rules(&self) -> &[Rule] {
         &self.options.rules
--- a/src/config.rs
+++ b/src/config.rs
@@ -14,7 +14,7 @@
 use sillfold::{Micros, Settings};
 use std::env;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Descriptors kept for the listener, discovery, signals, the log and the runtime.
@@ -85,6 +85,12 @@
         Config::parse(&read_file()?, |key| env::var(key).ok())
     }
 
+    /// Reads and checks another platform file, whatever the environment says.
+    pub fn read(path: &Path) -> Result<Config, String> {
+        let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Config::parse(&text, |_| None)
+    }
+
     /// Reads the file again, whole. The discovery that counts from now on is taken over; returned are
     /// the other keys that differ, which count at the next start. After an error nothing has changed.
     pub fn reload(&mut self) -> Result<Vec<&'static str>, String> {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -8,7 +8,8 @@
 //! newcomer finds no place.
 
 use super::core::{Call, Clock, Core, Ending, Order, Ticket, fnv1a};
-use super::hosts::{Attempted, Hosts, LongAnswer, Opened};
+use super::hosts::{Attempted, Hosts, LongAnswer, Opened, PlainAnswer};
+use super::statements::{Statements, Terms};
 use super::upgrade::Held;
 use super::{Budget, SOCKET_BYTES, by, complain, read, read_with};
 use crate::pg::{self, ErrorFields, Frontend, Inbox, Row, Startup, Statement, code};
@@ -17,6 +18,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, future};
 use sillfold::{Micros, Outcome};
+use sillfold_route::OwnWrites;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -25,6 +27,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tracing::{info, warn};
 
 /// A client that has begun to say something, or said nothing yet, has this long to go on: an error or a
 /// close is owed within 3 s to whoever stops in the middle, and a usual client may take 2 s for a head.
@@ -79,6 +82,8 @@
     /// What all clients together may have sent and not been answered, in bytes.
     most_bytes: Budget,
     way_back: Micros,
+    /// How plain statements are read, if they are served.
+    statements: RefCell<Option<Rc<Statements>>>,
     open: Rc<Cell<usize>>,
     /// Connections past the limit that are hearing so. Guards against their farewells taking the
     /// places of clients that could be served.
@@ -197,6 +202,7 @@
             most: Budget::new(most),
             most_bytes: Budget::new(most_bytes),
             way_back,
+            statements: RefCell::default(),
             open,
             refusing,
             bytes,
@@ -212,6 +218,16 @@
         }
     }
 
+    /// From now on plain statements are served so, or not at all.
+    pub fn serve_plain(&self, statements: Option<Rc<Statements>>) {
+        *self.statements.borrow_mut() = statements;
+    }
+
+    /// How plain statements are read, if they are served.
+    pub fn statements(&self) -> Option<Rc<Statements>> {
+        self.statements.borrow().clone()
+    }
+
     /// Accepts for as long as the future is kept.
     pub async fn accept(self: &Rc<Clients>, listener: &Async<TcpListener>) {
         self.listening.set(true);
@@ -236,7 +252,7 @@
         while let Ok((stream, _)) = listener.get_ref().accept() {
             match Async::new(stream) {
                 Ok(stream) => self.begin(stream),
-                Err(e) => eprintln!("clients: accepting: {e}"),
+                Err(e) => warn!(target: "clients", "accepting: {e}"),
             }
         }
     }
@@ -359,7 +375,7 @@
         }
         let since = Instant::now();
         self.draining.set(Some(since));
-        eprintln!("clients: draining");
+        info!(target: "clients", "draining");
         let all = self.clone();
         let at_rest = async move {
             Timer::at(since + DRAIN_AT_REST).await;
@@ -374,7 +390,7 @@
     pub fn undrain(&self) {
         if self.draining.take().is_some() {
             *self.closing.borrow_mut() = async_channel::bounded(1);
-            eprintln!("clients: draining no more");
+            info!(target: "clients", "draining no more");
         }
     }
 
@@ -422,13 +438,16 @@
 
 /// A last error.
 fn put_fatal(out: &mut Vec<u8>, code: &str, message: &str) {
-    let fields = ErrorFields { code: code.into(), message: message.into(), fatal: true, retry_in_ms: None };
+    let fields =
+        ErrorFields { code: code.into(), message: message.into(), fatal: true, ..Default::default() };
     pg::put_error(out, &fields);
 }
 
 /// The one final answer to a request.
 enum Verdict {
     Served(Row),
+    /// The answer to a plain statement, all of its results.
+    Plain(Vec<u8>),
     /// The client has its row already, and the end of the command.
     Passed,
     Refused {
@@ -439,6 +458,15 @@
     Rejected(ErrorFields),
 }
 
+/// A request as it was read.
+struct Asked<'a> {
+    call: Call,
+    statement: Statement,
+    /// A plain statement has no id, and is not claimed.
+    _claim: Option<Claim<'a>>,
+    plain: Option<Terms>,
+}
+
 /// Why a long statement did not get to a host.
 enum Upload {
     /// The outcome that the lack of a connection amounts to; nothing has run.
@@ -475,6 +503,12 @@
     heard: Instant,
     /// Told when the place is wanted for another.
     go: (Sender<()>, Receiver<()>),
+    /// Who asks and where, as the startup message says; kept only where plain statements are served.
+    who: Option<Box<(String, String)>>,
+    /// What this session's plain statements have written.
+    own: OwnWrites,
+    /// What the last answer told of its commit, and how long it took.
+    told: Option<(Option<Micros>, Duration)>,
 }
 
 impl<'a> Session<'a> {
@@ -491,6 +525,9 @@
             partial: None,
             heard: Instant::now(),
             go: async_channel::bounded(1),
+            who: None,
+            own: OwnWrites::default(),
+            told: None,
         }
     }
 
@@ -567,16 +604,23 @@
     /// and the connection has to end.
     async fn request(&mut self, text: String, left: &mut usize) -> io::Result<bool> {
         let came = self.all.core.clock.now();
-        match self.read_request(text, came) {
-            Ok((call, statement, _claim)) => {
+        match self.read_request(text, came, *left) {
+            Ok(Some(Asked { call, statement, plain, .. })) => {
                 self.asked = true;
                 // The answers to commands before this one do not wait for its own.
                 self.flush().await?;
-                match self.serve(&call, &statement, left).await {
-                    Some(verdict) => self.put_verdict(call.class, verdict),
+                self.told = None;
+                match self.serve(&call, &statement, plain.as_ref(), left).await {
+                    Some(verdict) => {
+                        if let Some(terms) = &plain {
+                            self.note_plain(terms, &verdict);
+                        }
+                        self.put_verdict(call.class, verdict);
+                    }
                     None => return Ok(false),
                 }
             }
+            Ok(None) => pg::put_empty_query(&mut self.out),
             Err(e) => pg::put_error(&mut self.out, &e),
         }
         pg::put_ready(&mut self.out);
@@ -585,7 +629,9 @@
 
     /// The life of one request, of which so many bytes are still to come. Nothing if its client left before
     /// it was answered, or can no longer be answered in order.
-    async fn serve(&mut self, call: &Call, statement: &Statement, left: &mut usize) -> Option<Verdict> {
+    async fn serve(
+        &mut self, call: &Call, statement: &Statement, plain: Option<&Terms>, left: &mut usize,
+    ) -> Option<Verdict> {
         enum Happened {
             Ended(Attempted),
             Ordered(Order),
@@ -593,6 +639,7 @@
             ClientGone,
         }
         let (core, hosts) = (self.all.core.clone(), self.all.hosts.clone());
+        let writes = plain.is_some_and(|p| p.writes);
         let ticket = core.open(call, *left > 0);
         let written = || core.count(call.class, |c| &mut c.backend_calls);
         let mut order = None;
@@ -627,7 +674,7 @@
                 let upload = async { Happened::Uploaded(upload.await) };
                 future::or(upload, async { Happened::Ordered(ticket.order().await) }).await
             } else {
-                let attempt = hosts.attempt(server, statement, until, written);
+                let attempt = hosts.attempt(server, statement, writes, until, written);
                 let attempt = async { Happened::Ended(attempt.await) };
                 self.beside(attempt, &ticket, Happened::Ordered, Happened::ClientGone).await
             };
@@ -659,6 +706,17 @@
                     ended(outcome, note);
                     return self.pass_on(long).await;
                 }
+                Happened::Ended(Attempted { outcome, note, stream: Some(stream), .. }) => {
+                    // As with a long row: the host has begun, and the rest is as fast as its reader.
+                    self.told = Some((note.position, sent.elapsed()));
+                    ended(outcome, note);
+                    return self.pass_on_plain(stream).await;
+                }
+                Happened::Ended(Attempted { outcome, note, plain: Some(bytes), .. }) => {
+                    self.told = Some((note.position, sent.elapsed()));
+                    ended(outcome, note);
+                    return Some(Verdict::Plain(bytes));
+                }
                 Happened::Ended(Attempted { outcome, note, row, .. }) => {
                     if once {
                         ticket.answered();
@@ -744,6 +802,38 @@
         Some(Verdict::Passed)
     }
 
+    /// Passes on the answer to a plain statement as fast as its client takes it. Nothing if the host breaks it off.
+    async fn pass_on_plain(&mut self, mut answer: Box<PlainAnswer>) -> Option<Verdict> {
+        self.out.append(&mut answer.beginning);
+        self.flush().await.ok()?;
+        while answer.piece(&mut self.out).await.ok()? {
+            self.flush().await.ok()?;
+        }
+        // Where a commit was is told at the end.
+        if let (Some((position, _)), Some(at)) = (&mut self.told, answer.note.position) {
+            *position = Some(at);
+        }
+        self.all.hosts.give_back_plain(*answer);
+        Some(Verdict::Passed)
+    }
+
+    /// Takes in how a plain statement ended: what its shape took, and what the session wrote.
+    fn note_plain(&mut self, terms: &Terms, verdict: &Verdict) {
+        if let (Some(statements), Some((_, took))) = (self.all.statements(), self.told) {
+            statements.learn(terms, took);
+        }
+        let now = self.all.core.clock.now();
+        match verdict {
+            _ if !terms.writes => {}
+            Verdict::Served(_) | Verdict::Plain(_) | Verdict::Passed => {
+                self.own.answered(self.told.and_then(|t| t.0), now);
+            }
+            Verdict::Failed => self.own.unknown(now),
+            // It did not run, or was undone.
+            Verdict::Refused { .. } | Verdict::Rejected(_) => {}
+        }
+    }
+
     /// Bytes of a message that has begun, those that wait or the next.
     async fn more(&mut self) -> io::Result<Came> {
         if !self.inbox.is_empty() {
@@ -764,16 +854,35 @@
         came + patience.saturating_sub(self.all.way_back).max(patience / 2)
     }
 
-    /// Reads a request; the error is what the client is told instead.
-    fn read_request(&self, text: String, came: Micros) -> Result<(Call, Statement, Claim<'a>), ErrorFields> {
+    /// Reads a request, of which so many bytes are still to come; the error is what the client is told instead.
+    /// Nothing if there is no statement in it.
+    fn read_request(
+        &self, text: String, came: Micros, left: usize,
+    ) -> Result<Option<Asked<'a>>, ErrorFields> {
         let error =
             |code: &str, message: String| ErrorFields { code: code.into(), message, ..Default::default() };
         let core = &self.all.core;
-        let statement = Statement::parse(text).map_err(|what| error(code::SYNTAX_ERROR, what))?;
-        let class = core.dialect.classes.iter().position(|c| *c == statement.class);
-        let class = class.and_then(|i| u8::try_from(i).ok());
-        let class = class
-            .ok_or_else(|| error(code::UNDEFINED_OBJECT, format!("no class {:?} here", statement.class)))?;
+        let statements = self.all.statements().filter(|_| !Statement::is_commented(&text));
+        let (class, statement, plain) = match statements {
+            Some(_) if left > 0 => {
+                let what = format!("a plain statement of over {} bytes", pg::MOST_BYTES);
+                return Err(error(code::LIMIT_EXCEEDED, what));
+            }
+            Some(statements) => {
+                let (user, database) = self.who.as_deref().map_or(("", ""), |w| (&w.0, &w.1));
+                let Some(terms) = statements.terms(&text, user, database)? else { return Ok(None) };
+                let statement = Statement::plain(text, terms.deadline_ms, terms.group);
+                (terms.class, statement, Some(terms))
+            }
+            None => {
+                let statement = Statement::parse(text).map_err(|what| error(code::SYNTAX_ERROR, what))?;
+                let class = core.dialect.classes.iter().position(|c| *c == statement.class);
+                let class = class.and_then(|i| u8::try_from(i).ok());
+                let no_class = || format!("no class {:?} here", statement.class);
+                let class = class.ok_or_else(|| error(code::UNDEFINED_OBJECT, no_class()))?;
+                (class, statement, None)
+            }
+        };
         if !core.knows_servers() {
             core.count(class, |c| &mut c.busy);
             let refused = error(code::CANNOT_CONNECT_NOW, "no database host is known yet".into());
@@ -783,35 +892,46 @@
             let what = format!("no group {} in the list of database hosts", statement.group);
             return Err(error(code::UNDEFINED_OBJECT, what));
         }
-        let claim = self.all.claim(&statement.id).ok_or_else(|| {
-            let what = format!("id {:?} is that of another request", statement.id);
-            error(code::DUPLICATE_OBJECT, what)
-        })?;
+        let _claim = match plain {
+            Some(_) => None,
+            None => Some(self.all.claim(&statement.id).ok_or_else(|| {
+                let what = format!("id {:?} is that of another request", statement.id);
+                error(code::DUPLICATE_OBJECT, what)
+            })?),
+        };
         let call = Call {
             class,
-            session: fnv1a(statement.key()),
+            session: if plain.is_some() { 0 } else { fnv1a(statement.key()) },
             group: statement.group,
             give_up_at: self.give_up_at(&statement, came),
-            after: statement.after_ms.map(Clock::from_unix_ms),
+            after: match plain {
+                Some(_) => self.own.after(),
+                None => statement.after_ms.map(Clock::from_unix_ms),
+            },
+            // A write whose comment names no key is never repeated either.
+            plain: plain.is_some() || !statement.keyed && core.is_keyed(class),
+            expected: plain.as_ref().map_or(0, |p| p.expected),
         };
-        Ok((call, statement, claim))
+        Ok(Some(Asked { call, statement, _claim, plain }))
     }
 
     fn put_verdict(&mut self, class: u8, verdict: Verdict) {
         self.all.core.count(class, |c| match verdict {
-            Verdict::Served(_) | Verdict::Passed => &mut c.success,
+            Verdict::Served(_) | Verdict::Plain(_) | Verdict::Passed => &mut c.success,
             Verdict::Refused { .. } => &mut c.busy,
             Verdict::Failed | Verdict::Rejected(_) => &mut c.failure,
         });
         match verdict {
             Verdict::Served(row) => pg::put_row(&mut self.out, &row),
+            Verdict::Plain(bytes) if self.out.is_empty() => self.out = bytes,
+            Verdict::Plain(bytes) => self.out.extend(bytes),
             Verdict::Passed => {}
             Verdict::Refused { retry_in } => {
                 let fields = ErrorFields {
                     code: code::TOO_MANY_CONNECTIONS.into(),
                     message: "refused: trying again later is harmless".into(),
                     retry_in_ms: advice(retry_in),
-                    fatal: false,
+                    ..Default::default()
                 };
                 pg::put_error(&mut self.out, &fields);
             }
@@ -830,7 +950,8 @@
                 },
                 Ok(Some(Startup::Encryption)) => self.out.push(b'N'),
                 Ok(Some(Startup::Cancel)) => return Ok(Some(false)),
-                Ok(Some(Startup::Session { minor, options })) => {
+                Ok(Some(Startup::Session { minor, options, user, database })) => {
+                    self.who = self.all.statements().map(|_| Box::new((user, database)));
                     if minor > 0 || !options.is_empty() {
                         pg::put_negotiate(&mut self.out, &options);
                     }
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -160,7 +160,12 @@
                 Some(why) => Answer(503, json!({"ready": false, "why": why})),
             },
             "/ops/stats" => match serde_json::to_value(self.core.figures()) {
-                Ok(figures) => Answer(200, figures),
+                Ok(mut figures) => {
+                    if let Some(statements) = self.clients.statements() {
+                        figures["statements"] = json!(statements.figures());
+                    }
+                    Answer(200, figures)
+                }
                 Err(e) => no(500, e.to_string()),
             },
             "/ops/database-hosts/down" => self.by_hand(&call.body, true),
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -10,13 +10,14 @@
 use serde::Serialize;
 use sillfold::settings::Dialect;
 use sillfold::{
-    Action, Arrival, Entry, Event, GroupId, ListKind, Listed, Micros, Outcome, Report, RequestId, Returned,
-    Router, ServerId, Settings,
+    Action, Arrival, Effect, Entry, Event, GroupId, ListKind, Listed, Micros, Outcome, Report, RequestId,
+    Returned, Router, ServerId, Settings,
 };
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tracing::info;
 
 /// With a list of before, this much silence of discovery is waited for.
 const SILENT: Duration = Duration::from_secs(1);
@@ -89,6 +90,10 @@
     pub give_up_at: Micros,
     /// The position that the read must see.
     pub after: Option<Micros>,
+    /// Servers know nothing of its terms.
+    pub plain: bool,
+    /// What an attempt is expected to take; 0 where only the class tells.
+    pub expected: Micros,
 }
 
 /// How one attempt ended, with what the answer told of its server.
@@ -149,6 +154,8 @@
     /// When to come again after a refusal that is none of the module's; 0 where the settings allow no advice.
     pub retry_in: Micros,
     inner: RefCell<Inner>,
+    /// Whether each class drops repeats by a key.
+    keyed: Vec<bool>,
     kept: Micros,
     timer_set: (Sender<()>, Receiver<()>),
     chores: Sender<Chore>,
@@ -163,6 +170,7 @@
         let limits = &settings.limits;
         let retry_in = if limits.retry_after { limits.max_retry_after / 4 } else { 0 };
         let kept = settings.safety.cold.saturating_mul(KEPT_COLD);
+        let keyed = settings.classes.iter().map(|c| matches!(c.effect, Effect::Keyed(..))).collect();
         let inner = Inner {
             router: Router::new(settings, seed),
             actions: Vec::new(),
@@ -180,6 +188,7 @@
             dialect,
             retry_in,
             inner: RefCell::new(inner),
+            keyed,
             kept,
             timer_set: async_channel::bounded(1),
             chores,
@@ -225,6 +234,11 @@
         }
     }
 
+    /// Whether repeats of a class's requests are dropped by a key.
+    pub fn is_keyed(&self, class: u8) -> bool {
+        self.keyed.get(usize::from(class)).copied().unwrap_or(false)
+    }
+
     /// Whether any list has named this group.
     pub fn knows_group(&self, group: GroupId) -> bool {
         self.inner.borrow().groups.contains(&group)
@@ -279,7 +293,8 @@
             give_up_at: call.give_up_at,
             group: call.group,
             token_ms: age,
-            ..Arrival::default()
+            plain: call.plain,
+            expected: call.expected,
         };
         self.feed(if coming { Event::Coming(arrival) } else { Event::Request(arrival) });
         Ticket { core: self, id, mailbox, answered: Cell::new(false) }
@@ -381,8 +396,10 @@
                     // Operators know names, the module numbers.
                     let number = text.split(' ').nth(1).unwrap_or("");
                     match number.parse().ok().and_then(|id: ServerId| inner.names.get(&id)) {
-                        Some(name) => eprintln!("module: {}", text.replacen(number, name, 1)),
-                        None => eprintln!("module: {text}"),
+                        Some(name) => {
+                            info!(target: "module", host = %name, "{}", text.replacen(number, name, 1))
+                        }
+                        None => info!(target: "module", "{text}"),
                     }
                 }
                 // Discovery pushes by itself, and proxies have no way to talk to each other.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,6 +12,7 @@
 use sillfold::GroupId;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
+use tracing::warn;
 
 const PATH: &str = "/registry/instances";
 /// An empty line comes every 2 s; after this long without one the connection is taken for dead.
@@ -108,7 +109,7 @@
         let watch = async {
             let before = Instant::now();
             if let Err(what) = session(agent, &mut index, core, hosts).await {
-                eprintln!("discovery: {what}");
+                warn!(target: "discovery", "{what}");
             }
             // A watch that held for a while may be reopened at once; a refusal is not hammered.
             wait = if before.elapsed() > LONGEST_WAIT { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
@@ -147,7 +148,7 @@
             hosts.listed(&core.list(&listing, false), &listing);
             *index = Some(listing.index);
         }
-        Err(e) => eprintln!("discovery: the list stays as it was: {e}"),
+        Err(e) => warn!(target: "discovery", "the list stays as it was: {e}"),
     };
     if path == PATH {
         apply(&http.whole().await?);
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -7,7 +7,9 @@
 use super::discovery::{Listing, Status};
 use super::upgrade::Held;
 use super::{Budget, SOCKET_BYTES, by, complain, read};
-use crate::pg::{self, Backend, Column, ErrorFields, Inbox, Row, Statement, code};
+use crate::pg::{
+    self, Backend, Column, ErrorFields, Inbox, Passed, Passing, PlainError, Row, Statement, code,
+};
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -21,8 +23,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-const USER: &str = "web";
-const DATABASE: &str = "orders";
 /// The pool is looked through this often for connections that ended or grew old.
 const UPKEEP: Duration = Duration::from_millis(500);
 /// Share of the idle limit after which a connection is no longer used: a request written to it as
@@ -32,6 +32,9 @@
 /// waited for what is to come behind the end of one.
 const STALLED: Duration = Duration::from_secs(15);
 const AFTERMATH: Duration = Duration::from_millis(100);
+/// So much of the answer to a plain statement is held: what fits is passed on whole, and may still be asked for
+/// elsewhere if it breaks off.
+const PLAIN_WHOLE: usize = 64 * 1024;
 /// This much before a drain's grace ends nothing more is written to the host.
 const DRAIN_MARGIN: Duration = Duration::from_millis(25);
 
@@ -77,6 +80,10 @@
     pub rejected: Option<ErrorFields>,
     /// A row that is served, and whose value is still to come.
     pub long: Option<Box<LongAnswer>>,
+    /// The whole answer to a plain statement.
+    pub plain: Option<Vec<u8>>,
+    /// The beginning of one, and where the rest comes from.
+    pub stream: Option<Box<PlainAnswer>>,
 }
 
 /// A connection on which one attempt may be written.
@@ -124,6 +131,84 @@
     }
 }
 
+/// The answer to a plain statement, of which a part is still to come.
+pub struct PlainAnswer {
+    opened: Opened,
+    passing: Passing,
+    /// What the answer tells of its server, so far.
+    pub note: Report,
+    /// What has come and is for the client.
+    pub beginning: Vec<u8>,
+    /// Its session is not as it was.
+    changed: bool,
+}
+
+/// Why an answer to a plain statement goes on, or does not.
+enum Step {
+    /// Something came, or what is held is enough.
+    On,
+    Ready,
+    Refused(ErrorFields),
+}
+
+impl PlainAnswer {
+    fn new(opened: Opened) -> PlainAnswer {
+        let (passing, note, beginning) = Default::default();
+        PlainAnswer { opened, passing, note, beginning, changed: false }
+    }
+
+    /// Takes what is here of the answer, or waits for more where nothing is; up to so many bytes in `out`.
+    async fn step(&mut self, out: &mut Vec<u8>, most: usize) -> Result<Step, Broken> {
+        let c = &mut self.opened.connection;
+        let mut some = false;
+        while out.len() < most {
+            match self.passing.pass(&mut c.inbox, out).map_err(|e| Broken::Nonsense(e.0))? {
+                Passed::Some => some = true,
+                Passed::Starved if some => break,
+                Passed::Starved => match read(&c.stream, &mut c.inbox).await {
+                    Ok(1..) => some = true,
+                    _ => return Err(Broken::Ended),
+                },
+                Passed::Note { name, value } => self.changed |= !note_from(&mut self.note, &name, &value),
+                Passed::Refused(e) => return Ok(Step::Refused(e)),
+                Passed::Ready(idle) => {
+                    self.changed |= !idle;
+                    return Ok(Step::Ready);
+                }
+            }
+        }
+        Ok(Step::On)
+    }
+
+    /// Appends what has come since; false at the end of the answer, an error where it breaks off.
+    pub async fn piece(&mut self, out: &mut Vec<u8>) -> io::Result<bool> {
+        let step = by(Instant::now() + STALLED, self.step(out, PLAIN_WHOLE)).await;
+        match step.unwrap_or(Err(Broken::Ended)) {
+            Ok(Step::On) => Ok(true),
+            Ok(Step::Ready) => Ok(false),
+            Ok(Step::Refused(_)) => Err(ErrorKind::InvalidData.into()),
+            Err(Broken::Ended) => Err(ErrorKind::UnexpectedEof.into()),
+            Err(Broken::Nonsense(what)) => {
+                complain(|| format!("hosts: {}: {what}", self.opened.connection.address));
+                Err(ErrorKind::InvalidData.into())
+            }
+        }
+    }
+}
+
+/// Takes in a note of a host's; false if it is none of those that answers carry, but says that a setting of the
+/// session has changed.
+fn note_from(note: &mut Report, name: &str, value: &str) -> bool {
+    match (name, value) {
+        ("server_role", "writer") => note.role = Some(Role::Primary),
+        ("server_role", "reader") => note.role = Some(Role::Replica),
+        ("commit_clock", ms) => note.position = ms.parse().ok().map(Clock::from_unix_ms),
+        ("usage" | "server_role", _) => {}
+        _ => return false,
+    }
+    true
+}
+
 /// What an answer turned out to be.
 enum Answered {
     /// With whether the connection may serve another.
@@ -137,7 +222,8 @@
 
 impl Attempted {
     fn without_answer(outcome: Outcome) -> Attempted {
-        Attempted { outcome, note: Report::default(), row: None, rejected: None, long: None }
+        let (note, row, rejected, long, plain, stream) = Default::default();
+        Attempted { outcome, note, row, rejected, long, plain, stream }
     }
 }
 
@@ -150,11 +236,17 @@
     dial_timeout: Duration,
     fresh: Duration,
     drain_grace: Duration,
+    /// The startup message of every session.
+    startup: Vec<u8>,
 }
 
 impl Hosts {
-    pub fn new(core: Rc<Core>, most: usize, drain_grace: Micros) -> Hosts {
+    /// An owner of none yet, which opens sessions as this user in this database.
+    pub fn new(core: Rc<Core>, most: usize, drain_grace: Micros, user: &str, database: &str) -> Hosts {
+        let mut startup = Vec::new();
+        pg::put_startup(&mut startup, user, database);
         Hosts {
+            startup,
             hosts: RefCell::default(),
             open: Rc::default(),
             most: Budget::new(most),
@@ -213,7 +305,7 @@
     /// `until` at the latest; dropping the future closes the connection, which withdraws the attempt.
     /// `written` is called once the last byte is.
     pub async fn attempt(
-        &self, server: ServerId, statement: &Statement, until: Micros, written: impl FnOnce(),
+        &self, server: ServerId, statement: &Statement, writes: bool, until: Micros, written: impl FnOnce(),
     ) -> Attempted {
         let deadline = self.core.clock.instant(until);
         let mut opened = match self.open(server, until).await {
@@ -228,9 +320,83 @@
             Some(Err(_)) => return Attempted::without_answer(Outcome::ConnectFailed),
             None => return Attempted::without_answer(Outcome::Timeout),
         }
+        if statement.is_plain() {
+            return self.plain_answer(opened, until, writes).await;
+        }
         self.answer(opened, until).await
     }
 
+    /// The answer to a plain statement: whole where it fits into what is held, else its beginning. Until then
+    /// nothing of it is the client's, and the module may still ask elsewhere.
+    async fn plain_answer(&self, opened: Opened, until: Micros, writes: bool) -> Attempted {
+        let mut answer = PlainAnswer::new(opened);
+        let mut held = Vec::new();
+        let whole = async {
+            loop {
+                match answer.step(&mut held, PLAIN_WHOLE).await {
+                    Ok(Step::On) if held.len() < PLAIN_WHOLE => {}
+                    other => return other,
+                }
+            }
+        };
+        let Some(ended) = by(self.core.clock.instant(until), whole).await else {
+            return Attempted::without_answer(Outcome::Timeout);
+        };
+        let (address, note) = (answer.opened.connection.address, answer.note);
+        match ended {
+            Ok(Step::On) => {
+                answer.beginning = held;
+                let stream = Some(Box::new(answer));
+                Attempted { note, stream, ..Attempted::without_answer(Outcome::Ok) }
+            }
+            Ok(Step::Ready) if answer.passing.begun() => {
+                self.give_back_plain(answer);
+                Attempted { note, plain: Some(held), ..Attempted::without_answer(Outcome::Ok) }
+            }
+            Ok(Step::Ready) => {
+                complain(|| format!("hosts: {address}: an answer that holds nothing"));
+                Attempted { note, ..Attempted::without_answer(Outcome::Error) }
+            }
+            Ok(Step::Refused(e)) => {
+                // The session goes on behind its error, if it says so soon.
+                let ready = async {
+                    loop {
+                        match answer.step(&mut held, PLAIN_WHOLE).await {
+                            Ok(Step::On) => {}
+                            other => return matches!(other, Ok(Step::Ready)),
+                        }
+                    }
+                };
+                if by(Instant::now() + AFTERMATH, ready).await == Some(true) {
+                    self.give_back_plain(answer);
+                }
+                let outcome = match pg::plain_error(&e.code, writes) {
+                    PlainError::Miss => Outcome::Miss,
+                    PlainError::Full => Outcome::Full,
+                    PlainError::Failed => Outcome::Error,
+                    PlainError::Answer => {
+                        let rejected = Some(e);
+                        return Attempted { note, rejected, ..Attempted::without_answer(Outcome::Moot) };
+                    }
+                };
+                Attempted { note, ..Attempted::without_answer(outcome) }
+            }
+            Err(Broken::Nonsense(what)) => {
+                complain(|| format!("hosts: {address}: {what}"));
+                Attempted { note, ..Attempted::without_answer(Outcome::Error) }
+            }
+            Err(Broken::Ended) => Attempted { note, ..Attempted::without_answer(Outcome::Reset) },
+        }
+    }
+
+    /// Keeps the connection of an answer that has ended, if its session is as it was.
+    pub fn give_back_plain(&self, answer: PlainAnswer) {
+        // Guards against a setting, or an open transaction, that the next client's statement would meet.
+        if !answer.changed && answer.opened.connection.inbox.is_empty() {
+            self.give_back(answer.opened.server, answer.opened.connection);
+        }
+    }
+
     /// A connection on which an attempt may be written, or the outcome that its lack amounts to.
     pub async fn open(&self, server: ServerId, until: Micros) -> Result<Opened, Outcome> {
         let deadline = self.core.clock.instant(until);
@@ -338,7 +504,7 @@
         };
         // Our own want of a descriptor says nothing of the host's health.
         let slot = self.slot().ok_or(Outcome::Moot)?;
-        Connection::dial(address, slot).await
+        Connection::dial(address, slot, &self.startup).await
     }
 
     /// A descriptor for one more connection; where none is left, that of the longest idle one.
@@ -397,16 +563,14 @@
 impl Connection {
     /// Opens a connection and its session. Nothing of a request is written here, so whatever goes
     /// wrong, the request has not run.
-    async fn dial(address: SocketAddr, slot: Slot) -> Result<Connection, Outcome> {
+    async fn dial(address: SocketAddr, slot: Slot, startup: &[u8]) -> Result<Connection, Outcome> {
         let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Outcome::ConnectFailed)?;
         stream.get_ref().set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
         // What a slow reader leaves there counts as memory too.
         let _ = SockRef::from(stream.get_ref()).set_recv_buffer_size(SOCKET_BYTES);
         let (inbox, idle_since) = (Inbox::default(), Instant::now());
         let mut connection = Connection { stream, address, inbox, idle_since, _slot: slot };
-        let mut startup = Vec::new();
-        pg::put_startup(&mut startup, USER, DATABASE);
-        connection.stream.write_all(&startup).await.map_err(|_| Outcome::ConnectFailed)?;
+        connection.stream.write_all(startup).await.map_err(|_| Outcome::ConnectFailed)?;
         loop {
             match connection.message().await {
                 Ok(Backend::ReadyForQuery) => return Ok(connection),
@@ -463,12 +627,9 @@
         let ended = loop {
             match self.message().await {
                 Ok(Backend::ReadyForQuery) => break None,
-                Ok(Backend::ParameterStatus { name, value }) => match (name.as_str(), value.as_str()) {
-                    ("server_role", "writer") => note.role = Some(Role::Primary),
-                    ("server_role", "reader") => note.role = Some(Role::Replica),
-                    ("commit_clock", ms) => note.position = ms.parse().ok().map(Clock::from_unix_ms),
-                    _ => {}
-                },
+                Ok(Backend::ParameterStatus { name, value }) => {
+                    note_from(&mut note, &name, &value);
+                }
                 Ok(Backend::RowDescription(mut columns)) if columns.len() == 1 => column = columns.pop(),
                 Ok(Backend::DataRow(mut values)) if values.len() == 1 && value.is_none() => {
                     value = values.pop();
@@ -512,6 +673,6 @@
         let row = row.filter(|_| outcome == Outcome::Ok);
         // Guards against something unasked passing for the answer to the next request.
         let reusable = ended.is_none() && self.inbox.is_empty();
-        Answered::Whole(Attempted { outcome, note, row, rejected, long: None }, reusable)
+        Answered::Whole(Attempted { note, row, rejected, ..Attempted::without_answer(outcome) }, reusable)
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
-//! Everything that touches sockets, in six parts. `core` owns the decision module, time and the
+//! Everything that touches sockets, in seven parts. `core` owns the decision module, time and the
 //! figures, `client` a request's life, `hosts` the connections to database hosts, `discovery` the
-//! list, `console` the operators' door, `upgrade` what two processes share.
+//! list, `console` the operators' door, `statements` the desk for plain statements, `upgrade` what two processes
+//! share.
 //! This file holds only what they share; it must never decide nor keep state beyond a moment.
 
 pub mod client;
@@ -8,6 +9,7 @@
 pub mod core;
 pub mod discovery;
 pub mod hosts;
+pub mod statements;
 pub mod upgrade;
 
 use crate::pg::Inbox;
@@ -19,6 +21,7 @@
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
+use tracing::warn;
 
 /// Bytes that one read may bring.
 const READ_BYTES: usize = 32 * 1024;
@@ -106,11 +109,11 @@
     let (since, count) = COMPLAINED.get();
     let fresh = since.is_none_or(|since| since.elapsed() > Duration::from_secs(1));
     if fresh && count > COMPLAINTS {
-        eprintln!("... and {} more such lines", count - COMPLAINTS);
+        warn!(target: "peers", "... and {} more such lines", count - COMPLAINTS);
     }
     let (since, count) = if fresh { (Some(Instant::now()), 0) } else { (since, count) };
     if count < COMPLAINTS {
-        eprintln!("{}", line());
+        warn!(target: "peers", "{}", line());
     }
     COMPLAINED.set((since, count + 1));
 }
--- /dev/null
+++ b/src/net/statements.rs
@@ -0,0 +1,124 @@
+//! The desk for plain statements, among clients: it owns the `Desk` of the route crate, and turns what that says
+//! into classes by number and errors that a client is told. It must never decide a route itself, nor hold a
+//! borrow across an await.
+
+use crate::operator::Statements as Conf;
+use crate::pg::{ErrorFields, code};
+use serde::Serialize;
+use sillfold::Micros;
+use sillfold::settings::Dialect;
+use sillfold_route::sql::Unreadable;
+use sillfold_route::{Desk, Refusal, Shape};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The terms of a plain statement.
+pub struct Terms {
+    pub class: u8,
+    pub group: u32,
+    pub deadline_ms: u64,
+    /// What an attempt is expected to take.
+    pub expected: Micros,
+    /// Whether only the primary may run it.
+    pub writes: bool,
+    shape: Rc<Shape>,
+}
+
+/// What operators are told.
+#[derive(Serialize)]
+pub struct Figures {
+    shapes: usize,
+    shape_bytes: u64,
+    hits: u64,
+    misses: u64,
+    refused: u64,
+}
+
+/// How plain statements get their terms.
+pub struct Statements {
+    desk: RefCell<Desk>,
+    /// The class of each rule, by number.
+    classes: RefCell<Vec<u8>>,
+    refused: Cell<u64>,
+}
+
+impl Statements {
+    /// What the operator's file sets, if it switches them on.
+    pub fn of(conf: &Conf, dialect: &Dialect) -> Option<Rc<Statements>> {
+        let statements = || Statements {
+            desk: RefCell::new(Desk::new(conf.options())),
+            classes: RefCell::new(numbers(conf, dialect)),
+            refused: Cell::default(),
+        };
+        conf.enabled.then(|| Rc::new(statements()))
+    }
+
+    /// Other rules, from now on.
+    pub fn replace(&self, conf: &Conf, dialect: &Dialect) {
+        self.desk.borrow_mut().replace(conf.options());
+        *self.classes.borrow_mut() = numbers(conf, dialect);
+    }
+
+    /// The terms of a statement; nothing if there is none in the text.
+    pub fn terms(&self, text: &str, user: &str, database: &str) -> Result<Option<Terms>, ErrorFields> {
+        let refuse = |code: &str, message: String| {
+            self.refused.set(self.refused.get() + 1);
+            Err(ErrorFields { code: code.into(), message, ..Default::default() })
+        };
+        let mut desk = self.desk.borrow_mut();
+        let read = match desk.read(text) {
+            Ok(read) => read,
+            Err(Unreadable::Empty) => return Ok(None),
+            Err(e @ (Unreadable::Nul | Unreadable::Encoding)) => {
+                return refuse(code::UNTRANSLATABLE, e.why().into());
+            }
+            Err(e @ Unreadable::Unended) => return refuse(code::SYNTAX_ERROR, e.why().into()),
+        };
+        let route = match desk.route(&read, text, user, database) {
+            Ok(route) => route,
+            Err(Refusal::NotCarried(what) | Refusal::NoRoute(what)) => {
+                return refuse(code::FEATURE_NOT_SUPPORTED, what);
+            }
+        };
+        // Every rule has a class here: the file was checked against them.
+        let Some(&class) = self.classes.borrow().get(route.rule) else {
+            return refuse(code::UNDEFINED_OBJECT, "the rule's class is not known here".into());
+        };
+        Ok(Some(Terms {
+            class,
+            group: route.group,
+            deadline_ms: route.deadline_ms,
+            expected: route.expected_us,
+            writes: route.writes,
+            shape: read.shape,
+        }))
+    }
+
+    /// A statement was served in this time.
+    pub fn learn(&self, terms: &Terms, took: Duration) {
+        self.desk.borrow_mut().learn(&terms.shape, took.as_micros() as u64);
+    }
+
+    /// The figures of this moment.
+    pub fn figures(&self) -> Figures {
+        let desk = self.desk.borrow();
+        let (shapes, asked) = (desk.shapes(), desk.shapes().asked());
+        Figures {
+            shapes: shapes.len(),
+            shape_bytes: shapes.bytes(),
+            hits: asked.hits,
+            misses: asked.misses,
+            refused: self.refused.get(),
+        }
+    }
+}
+
+/// The classes of the rules; one that is not known has a number that no class has.
+fn numbers(conf: &Conf, dialect: &Dialect) -> Vec<u8> {
+    let number = |name: &String| dialect.classes.iter().position(|c| c == name);
+    conf.rules
+        .iter()
+        .map(|r| number(&r.class).and_then(|i| u8::try_from(i).ok()).unwrap_or(u8::MAX))
+        .collect()
+}
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -21,6 +21,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use std::{fs, io, process};
+use tracing::info;
 
 const SOCKET: &str = "sillfold.sock";
 const HOSTS: &str = "hosts";
@@ -63,8 +64,7 @@
         if let Some(dir) = &upgrade.dir
             && let Err(e) = fs::create_dir_all(dir.join(HOSTS))
         {
-            eprintln!(
-                "upgrade: {}: {e}; hosts left out by hand are forgotten with this process",
+            info!(target: "upgrade", "{}: {e}; hosts left out by hand are forgotten with this process",
                 dir.display()
             );
         }
@@ -80,12 +80,12 @@
         let path = dir.join(SOCKET);
         match UnixStream::connect(&path) {
             Ok(stream) => {
-                eprintln!("upgrade: another process runs");
+                info!(target: "upgrade", "another process runs");
                 self.other.set(Some(Held::default()));
                 executor.spawn(self.clone().exchange(stream)).detach();
             }
             Err(e) if e.kind() == io::ErrorKind::NotFound => {}
-            Err(e) => eprintln!("upgrade: {}: nobody is there: {e}", path.display()),
+            Err(e) => info!(target: "upgrade", "{}: nobody is there: {e}", path.display()),
         }
         // Put in place whole, over what the process before has left there.
         let own = dir.join(format!("{SOCKET}.{}", process::id()));
@@ -93,14 +93,14 @@
         let listener = match bound.and_then(Async::new) {
             Ok(listener) => listener,
             Err(e) => {
-                return eprintln!("upgrade: {}: {e}; a new version will not find this one", own.display());
+                return info!(target: "upgrade", "{}: {e}; a new version will not find this one", own.display());
             }
         };
         let (upgrade, executor2) = (self.clone(), executor.clone());
         let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let Ok(stream) = stream.into_inner() else { continue };
-                eprintln!("upgrade: a new process has started");
+                info!(target: "upgrade", "a new process has started");
                 executor2.spawn(upgrade.clone().exchange(stream)).detach();
             }
         };
@@ -131,12 +131,12 @@
                 }
                 match serde_json::from_slice(&line) {
                     Ok(held) => self.beside(Some(held)),
-                    Err(e) => return eprintln!("upgrade: the other process: {e}"),
+                    Err(e) => return info!(target: "upgrade", "the other process: {e}"),
                 }
             }
         };
         future::or(tell, hear).await;
-        eprintln!("upgrade: the other process has ended");
+        info!(target: "upgrade", "the other process has ended");
         self.beside(None);
         self.read_hands(false);
         let _ = self.ended.0.try_send(());
@@ -188,7 +188,7 @@
             put.map_err(|e| format!("{}: {e}", path.display()))?;
             self.seen.borrow_mut().insert(name.to_string(), text);
         }
-        eprintln!("upgrade: {name} is {} by hand", if out { "left out" } else { "used again" });
+        info!(target: "upgrade", "{name} is {} by hand", if out { "left out" } else { "used again" });
         self.core.by_hand(name, out, since);
         Ok(())
     }
@@ -204,8 +204,7 @@
                         continue;
                     }
                     if out || since + KEPT > self.core.clock.now() {
-                        eprintln!(
-                            "upgrade: {name} was {} by hand",
+                        info!(target: "upgrade", "{name} was {} by hand",
                             if out { "left out" } else { "used again" }
                         );
                         self.core.by_hand(&name, out, since);
@@ -214,7 +213,7 @@
                         let _ = fs::remove_file(&path);
                     }
                 }
-                None if starting => eprintln!("upgrade: {}: unreadable, left as it is", path.display()),
+                None if starting => info!(target: "upgrade", "{}: unreadable, left as it is", path.display()),
                 None => {}
             }
         }
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,444 @@
+//! The operator's own file, JSON5: what the platform does not set. It owns the names of its keys, their defaults
+//! and their checks; every message names the key and its place in the file. Everything in it is off where it is
+//! not written. It must never be read piece by piece: it is taken whole or not at all.
+
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::de::{DeserializeSeed, Error as _, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer};
+use sillfold::{Need, Settings};
+use sillfold_route::sql::{Additions, Bounds};
+use sillfold_route::{Band, Classes, Group, Options, Pattern, Rule, faults};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::path::Path;
+
+/// The longest file that is read, in bytes.
+const MOST_BYTES: u64 = 4 << 20;
+
+/// The whole file.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(default, deny_unknown_fields)]
+pub struct File {
+    /// How sessions at database hosts are opened.
+    #[garde(dive)]
+    pub hosts: Hosts,
+    /// Statements without a comment that names their terms.
+    #[garde(dive)]
+    pub statements: Statements,
+}
+
+/// As whom the proxy opens its sessions at database hosts. Every statement runs so, whoever sent it.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(default, deny_unknown_fields)]
+pub struct Hosts {
+    /// The user's name.
+    #[garde(length(chars, min = 1, max = 63), custom(no_nul))]
+    pub user: String,
+    /// The database's name.
+    #[garde(length(chars, min = 1, max = 63), custom(no_nul))]
+    pub database: String,
+}
+
+impl Default for Hosts {
+    fn default() -> Hosts {
+        Hosts { user: "web".into(), database: "orders".into() }
+    }
+}
+
+/// Plain statements.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(default, deny_unknown_fields)]
+pub struct Statements {
+    /// Whether they are served at all.
+    #[garde(skip)]
+    pub enabled: bool,
+    /// What becomes of several statements in one text.
+    #[garde(skip)]
+    pub several: Several,
+    /// Kilobytes that the shape cache may hold.
+    #[garde(range(min = 16, max = 1_048_576))]
+    pub cache_kb: u32,
+    /// The longest shape that is kept in the cache, in bytes.
+    #[garde(range(min = 64, max = 65_536))]
+    pub longest_kept: u32,
+    /// The longest shape that is parsed, in bytes; a longer one is a write.
+    #[garde(range(min = 64, max = 65_536))]
+    pub longest_parsed: u32,
+    /// How deeply parentheses may be nested; a deeper statement is a write.
+    #[garde(range(min = 1, max = 32))]
+    pub deepest: u32,
+    /// What the simplest statement takes until better is known, in milliseconds.
+    #[garde(range(min = 0.001, max = 60_000.0))]
+    pub start_cost_ms: f64,
+    /// What is known of functions.
+    #[garde(dive)]
+    pub functions: FunctionLists,
+    /// The rules; the first that matches counts.
+    #[garde(length(max = 128), dive)]
+    pub rules: Vec<RuleConf>,
+}
+
+impl Default for Statements {
+    fn default() -> Statements {
+        Statements {
+            enabled: false,
+            several: Several::Primary,
+            cache_kb: 2_048,
+            longest_kept: 8_192,
+            longest_parsed: 16_384,
+            deepest: 24,
+            start_cost_ms: 2.0,
+            functions: FunctionLists::default(),
+            rules: Vec::new(),
+        }
+    }
+}
+
+/// What becomes of several statements in one text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Several {
+    /// They go to the primary, whole.
+    Primary,
+    /// They are refused.
+    Refuse,
+}
+
+/// Functions and other names, beside the list that comes with the program.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(default, deny_unknown_fields)]
+pub struct FunctionLists {
+    /// Functions without effects, as statements call them: `area` or `gis.area`.
+    #[garde(length(max = 4_096), inner(length(chars, min = 1, max = 130)))]
+    pub known: Vec<String>,
+    /// Names of functions, views or columns whose mention makes a statement a write.
+    #[garde(length(max = 4_096), inner(length(chars, min = 1, max = 130)))]
+    pub effects: Vec<String>,
+    /// Whether the list that comes with the program counts.
+    #[garde(skip)]
+    pub builtin: bool,
+}
+
+impl Default for FunctionLists {
+    fn default() -> FunctionLists {
+        FunctionLists { known: Vec::new(), effects: Vec::new(), builtin: true }
+    }
+}
+
+/// One rule. Conditions that are not written ask nothing.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct RuleConf {
+    /// Its name in messages.
+    #[garde(length(chars, min = 1, max = 64))]
+    pub name: String,
+    /// The effects that it takes.
+    #[garde(length(min = 1))]
+    pub effects: BTreeSet<EffectConf>,
+    /// All tables of the statement are among these: names, `schema.name` or `schema.*`.
+    #[serde(default)]
+    #[garde(length(max = 1_024), inner(custom(table)))]
+    pub tables: Vec<String>,
+    /// Its usual service time, in milliseconds.
+    #[serde(default)]
+    #[garde(dive)]
+    pub cost_ms: BandConf,
+    /// The 95th percentile of its service time, in milliseconds.
+    #[serde(default)]
+    #[garde(dive)]
+    pub tail_ms: BandConf,
+    /// Whose statements.
+    #[serde(default)]
+    #[garde(length(max = 256))]
+    pub users: BTreeSet<String>,
+    /// In which databases.
+    #[serde(default)]
+    #[garde(length(max = 256))]
+    pub databases: BTreeSet<String>,
+    /// The class that it gives, one of the platform's settings.
+    #[garde(length(min = 1, max = 64))]
+    pub class: String,
+    /// How long the client waits, in milliseconds.
+    #[garde(range(min = 1, max = 60_000))]
+    pub deadline_ms: u64,
+    /// The group that it gives.
+    #[garde(dive)]
+    pub group: GroupConf,
+}
+
+/// What a statement does, as a rule names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum EffectConf {
+    /// It changes nothing.
+    Read,
+    /// It may.
+    Write,
+}
+
+/// A span of times in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(default, deny_unknown_fields)]
+pub struct BandConf {
+    /// The smallest that is in it.
+    #[garde(range(min = 0.0, max = 1e9))]
+    pub from: f64,
+    /// The smallest beyond it.
+    #[garde(inner(range(min = 0.0, max = 1e9)))]
+    pub below: Option<f64>,
+}
+
+/// Where the group comes from.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum GroupConf {
+    /// Always this one.
+    Constant(#[garde(skip)] u32),
+    /// That of the statement's tables, which must all have the same.
+    ByTable(#[garde(length(min = 1, max = 4_096))] BTreeMap<String, u32>),
+    /// By rendezvous hash of the literal that a column is equal to.
+    ByKey {
+        /// The column's name, without its table.
+        #[garde(length(chars, min = 1, max = 63))]
+        column: String,
+        /// The groups, in any order.
+        #[garde(length(min = 1, max = 4_096))]
+        among: Vec<u32>,
+    },
+}
+
+fn no_nul(text: &str, (): &()) -> garde::Result {
+    if text.contains('\0') { Err(garde::Error::new("holds a NUL")) } else { Ok(()) }
+}
+
+fn table(text: &str, (): &()) -> garde::Result {
+    let star = text.find('*');
+    let whole = !text.is_empty() && text.len() <= 130;
+    if whole && star.is_none_or(|at| at + 1 == text.len() && text.ends_with(".*") && at > 1) {
+        return Ok(());
+    }
+    Err(garde::Error::new("is no table: `name`, `schema.name` or `schema.*`"))
+}
+
+impl BandConf {
+    fn band(&self) -> Band {
+        let us = |ms: f64| (ms * 1e3).round() as u64;
+        Band { from: us(self.from), below: self.below.map_or(u64::MAX, us) }
+    }
+}
+
+impl RuleConf {
+    fn rule(&self) -> Rule {
+        Rule {
+            name: self.name.clone(),
+            reads: self.effects.contains(&EffectConf::Read),
+            writes: self.effects.contains(&EffectConf::Write),
+            tables: self.tables.iter().map(|t| Pattern::new(t)).collect(),
+            cost: self.cost_ms.band(),
+            tail: self.tail_ms.band(),
+            users: self.users.clone(),
+            databases: self.databases.clone(),
+            class: self.class.clone(),
+            deadline_ms: self.deadline_ms,
+            group: match &self.group {
+                GroupConf::Constant(group) => Group::Constant(*group),
+                GroupConf::ByTable(groups) => {
+                    Group::ByTable(groups.iter().map(|(t, g)| (Pattern::new(t), *g)).collect())
+                }
+                GroupConf::ByKey { column, among } => {
+                    Group::ByKey { column: column.clone(), among: among.clone() }
+                }
+            },
+        }
+    }
+}
+
+impl Statements {
+    /// What the desk is told.
+    pub fn options(&self) -> Options {
+        Options {
+            rules: self.rules.iter().map(RuleConf::rule).collect(),
+            several: self.several == Several::Primary,
+            cache_bytes: self.cache_kb as usize * 1024,
+            longest_kept: self.longest_kept as usize,
+            bounds: Bounds {
+                parsed: self.longest_parsed as usize,
+                depth: self.deepest as usize,
+                ..Bounds::default()
+            },
+            base_us: (self.start_cost_ms * 1e3) as u64,
+            additions: Additions {
+                harmless: self.functions.known.clone(),
+                effects: self.functions.effects.clone(),
+                without_builtin: !self.functions.builtin,
+            },
+        }
+    }
+}
+
+/// What is wrong with a file, a line each, and what may be.
+#[derive(Debug, Default, PartialEq)]
+pub struct Findings {
+    pub errors: Vec<String>,
+    pub notes: Vec<String>,
+}
+
+/// The classes of the platform's settings, and whether each takes writes.
+pub fn classes(settings: &Settings, names: &[String]) -> Classes {
+    let writes = settings.classes.iter().map(|c| c.need == Need::Write);
+    names.iter().cloned().zip(writes).collect()
+}
+
+impl File {
+    /// Reads and checks a file; with the platform's classes, where they are known, also against them.
+    pub fn load(path: &Path, classes: Option<&Classes>) -> (Option<File>, Findings) {
+        let name = path.display().to_string();
+        let text = std::fs::metadata(path).and_then(|m| match m.len() {
+            0..=MOST_BYTES => std::fs::read_to_string(path),
+            n => Err(std::io::Error::other(format!("{n} bytes; the most is {MOST_BYTES}"))),
+        });
+        match text {
+            Ok(text) => File::parse(&name, &text, classes),
+            Err(e) => (None, Findings { errors: vec![format!("{name}: {e}")], notes: Vec::new() }),
+        }
+    }
+
+    /// The same of a text; `name` leads every message.
+    pub fn parse(name: &str, text: &str, classes: Option<&Classes>) -> (Option<File>, Findings) {
+        let mut findings = Findings::default();
+        let file: File = match read(text) {
+            Ok(file) => file,
+            Err((key, place, what)) => {
+                let key = if key == "." { String::new() } else { format!("{key}: ") };
+                findings.errors.push(format!("{name}:{place}: {key}{what}"));
+                return (None, findings);
+            }
+        };
+        if let Err(report) = file.validate() {
+            for (path, error) in report.iter() {
+                let key = path.to_string();
+                findings.errors.push(format!("{name}:{}: {key}: {error}", place(text, &key)));
+            }
+            return (None, findings);
+        }
+        let names: Vec<&str> = file.statements.rules.iter().map(|r| r.name.as_str()).collect();
+        let at = |rule: &str| names.iter().position(|n| *n == rule).unwrap_or(0);
+        for (i, rule) in names.iter().enumerate().filter(|(i, n)| at(n) != *i) {
+            let key = format!("statements.rules[{i}].name");
+            findings.errors.push(format!("{name}:{}: {key}: {rule:?} is another rule's", place(text, &key)));
+        }
+        if file.statements.enabled && names.is_empty() {
+            let what = "no rule, so that every plain statement is refused";
+            findings.errors.push(format!("{name}:{}: statements.rules: {what}", place(text, "statements")));
+        }
+        let rules: Vec<Rule> = file.statements.rules.iter().map(RuleConf::rule).collect();
+        for fault in faults(&rules, classes.filter(|_| file.statements.enabled)) {
+            use sillfold_route::Fault::{Overlap, Shadowed, Unreachable};
+            let (Unreachable(rule, _) | Shadowed(rule, _) | Overlap(_, rule)) = &fault;
+            let key = format!("statements.rules[{}]", at(rule));
+            let line = format!("{name}:{}: {key}: {fault}", place(text, &key));
+            let list = if fault.is_error() { &mut findings.errors } else { &mut findings.notes };
+            list.push(line);
+        }
+        let sound = findings.errors.is_empty();
+        (sound.then_some(file), findings)
+    }
+}
+
+/// Reads a text whole; the error is the key, the place and what is wrong there.
+fn read(text: &str) -> Result<File, (String, String, String)> {
+    let mut track = serde_path_to_error::Track::new();
+    let mut de = json5::Deserializer::from_str(text);
+    let tracked = serde_path_to_error::Deserializer::new(&mut de, &mut track);
+    // What stands behind the value shows only in a reading of all.
+    let found = File::deserialize(tracked).and_then(|f| json5::from_str::<IgnoredAny>(text).map(|_| f));
+    found.map_err(|e| {
+        let place = e.position().map_or("1:1".into(), |p| format!("{}:{}", p.line + 1, p.column + 1));
+        let whole = e.to_string();
+        // The place leads the message already.
+        let what = whole.rsplit_once(" at line ").map_or(whole.as_str(), |w| w.0).to_string();
+        (track.path().to_string(), place, what)
+    })
+}
+
+/// Where a key's value stands in a text that parses, as line and column; of the nearest key above where it is
+/// not written.
+fn place(text: &str, key: &str) -> String {
+    let steps: Vec<&str> = key.split(['.', '[', ']']).filter(|s| !s.is_empty()).collect();
+    for length in (0..=steps.len()).rev() {
+        let mut de = json5::Deserializer::from_str(text);
+        if let Err(e) = (Seek { steps: &steps[..length] }).deserialize(&mut de)
+            && let (Some(p), true) = (e.position(), e.to_string().starts_with(HERE))
+        {
+            return format!("{}:{}", p.line + 1, p.column + 1);
+        }
+    }
+    "1:1".to_string()
+}
+
+/// How a search says that it is there.
+const HERE: &str = "the value that is looked for";
+
+/// Goes down to a value and fails there: the parser then tells the place.
+#[derive(Clone, Copy)]
+struct Seek<'s> {
+    steps: &'s [&'s str],
+}
+
+impl<'de> DeserializeSeed<'de> for Seek<'_> {
+    type Value = ();
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<(), D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Seek<'_> {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("a value on the way")
+    }
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
+        let Some((step, rest)) = self.steps.split_first() else { return Err(A::Error::custom(HERE)) };
+        while let Some(key) = map.next_key::<String>()? {
+            if key == *step {
+                map.next_value_seed(Seek { steps: rest })?;
+            } else {
+                map.next_value::<IgnoredAny>()?;
+            }
+        }
+        Ok(())
+    }
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
+        let Some((step, rest)) = self.steps.split_first() else { return Err(A::Error::custom(HERE)) };
+        let mut left = step.parse::<usize>().unwrap_or(usize::MAX);
+        loop {
+            if left == 0 {
+                return seq.next_element_seed(Seek { steps: rest }).map(|_| ());
+            }
+            left -= 1;
+            if seq.next_element::<IgnoredAny>()?.is_none() {
+                return Ok(());
+            }
+        }
+    }
+    fn visit_bool<E: serde::de::Error>(self, _: bool) -> Result<(), E> {
+        Err(E::custom(HERE))
+    }
+    fn visit_i64<E: serde::de::Error>(self, _: i64) -> Result<(), E> {
+        Err(E::custom(HERE))
+    }
+    fn visit_u64<E: serde::de::Error>(self, _: u64) -> Result<(), E> {
+        Err(E::custom(HERE))
+    }
+    fn visit_f64<E: serde::de::Error>(self, _: f64) -> Result<(), E> {
+        Err(E::custom(HERE))
+    }
+    fn visit_str<E: serde::de::Error>(self, _: &str) -> Result<(), E> {
+        Err(E::custom(HERE))
+    }
+    fn visit_unit<E: serde::de::Error>(self) -> Result<(), E> {
+        Err(E::custom(HERE))
+    }
+}
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -2,6 +2,8 @@
 //! encoded once. It owns the layout of messages, the limits on their length and the bytes that are
 //! not decoded yet. It must never do I/O, and never decide what an answer means for a request.
 
+use std::borrow::Cow;
+
 /// The longest message that is taken whole: a value of 64 KiB as hexadecimal text, with room around it.
 pub const MOST_BYTES: usize = 160 * 1024;
 /// The longest value; in a row beyond the first length, it is passed on in pieces.
@@ -27,6 +29,7 @@
     pub const UNTRANSLATABLE: &str = "22021";
     pub const DUPLICATE_OBJECT: &str = "42710";
     pub const OUT_OF_MEMORY: &str = "53200";
+    pub const LIMIT_EXCEEDED: &str = "54000";
     pub const COMPLETION_UNKNOWN: &str = "40003";
     pub const SYNTAX_ERROR: &str = "42601";
     pub const UNDEFINED_OBJECT: &str = "42704";
@@ -40,6 +43,32 @@
     }
 }
 
+/// What an error that comes before any result means for a plain statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlainError {
+    /// The host turned it away untouched: not the primary, or too far behind.
+    Miss,
+    /// The host is full.
+    Full,
+    /// The host failed; it may have run.
+    Failed,
+    /// The statement's own answer, whichever host is asked.
+    Answer,
+}
+
+/// Reads an error's code, as PostgreSQL's appendix on error codes has them.
+pub fn plain_error(code: &str, writes: bool) -> PlainError {
+    match code {
+        code::READ_ONLY | code::SNAPSHOT_TOO_OLD => PlainError::Miss,
+        code::TOO_MANY_CONNECTIONS => PlainError::Full,
+        // A replica cancels a read that is in the way of the log; elsewhere it may succeed.
+        "40001" | "40P01" if !writes => PlainError::Failed,
+        "57P01" | "57P02" | "57P03" | "57P05" => PlainError::Failed,
+        _ if ["08", "53", "58", "XX"].iter().any(|class| code.starts_with(class)) => PlainError::Failed,
+        _ => PlainError::Answer,
+    }
+}
+
 /// Bytes that are no message; the text says why.
 #[derive(Debug, PartialEq)]
 pub struct Malformed(pub String);
@@ -114,7 +143,7 @@
     /// Asks for another session's query to be cancelled.
     Cancel,
     /// Opens the session; the minor version may be newer than ours.
-    Session { minor: u16, options: Vec<String> },
+    Session { minor: u16, options: Vec<String>, user: String, database: String },
 }
 
 /// What a client may say in its session.
@@ -172,6 +201,8 @@
     /// In milliseconds: when to come again.
     pub retry_in_ms: Option<u64>,
     pub fatal: bool,
+    /// The body of the message as a database host wrote it, to be passed on; empty where this side speaks.
+    pub whole: Vec<u8>,
 }
 
 /// A result of one row of one column, and the tag of the command that gave it.
@@ -182,6 +213,108 @@
     pub tag: String,
 }
 
+/// The longest message of an answer to a plain statement, by what it is: a row, and what describes or ends.
+const MOST_ROW: usize = 1 << 30;
+const MOST_PART: usize = 1 << 20;
+/// The longest that is taken whole, since this side reads it.
+const MOST_NOTE: usize = 64 * 1024;
+
+/// The answer to a plain statement on its way through. Its messages are told apart by their heads; what is in
+/// them is passed on as it comes, so that no row is ever held whole.
+#[derive(Default)]
+pub struct Passing {
+    /// Bytes of the present message that are still to come.
+    left: usize,
+    /// A result has begun.
+    begun: bool,
+    /// Columns of the rows of the present result.
+    columns: Option<i16>,
+}
+
+/// One step of an answer on its way through.
+#[derive(Debug, PartialEq)]
+pub enum Passed {
+    /// Something was passed on.
+    Some,
+    /// Nothing more is here.
+    Starved,
+    /// A note of the host's.
+    Note { name: String, value: String },
+    /// An error before any result.
+    Refused(ErrorFields),
+    /// The end; false if the session has kept something open.
+    Ready(bool),
+}
+
+impl Passing {
+    /// Whether a result has begun, so that an error is a part of the answer.
+    pub fn begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Takes the next part off the front; what the client is to have goes to the end of `out`.
+    pub fn pass(&mut self, inbox: &mut Inbox, out: &mut Vec<u8>) -> Result<Passed, Malformed> {
+        if self.left > 0 {
+            let n = inbox.move_to(out, self.left);
+            self.left -= n;
+            return Ok(if n > 0 { Passed::Some } else { Passed::Starved });
+        }
+        let Some(&[kind, a, b, c, d]) = inbox.rest().first_chunk::<5>() else {
+            // An unknown type is told before its length is waited for.
+            return match inbox.rest().first() {
+                Some(kind) if !b"RSKTDCIEZNAtnv".contains(kind) => {
+                    bad(format!("a message of the unknown type {kind:#04x}"))
+                }
+                _ => Ok(Passed::Starved),
+            };
+        };
+        let len = usize::try_from(i32::from_be_bytes([a, b, c, d])).unwrap_or(0);
+        let most = match kind {
+            b'D' => MOST_ROW,
+            b'T' | b'C' | b'I' | b'N' | b'E' => MOST_PART,
+            b'S' | b'A' => MOST_NOTE,
+            b'Z' => 5,
+            _ => return bad(format!("a message of type {:?} in an answer", kind as char)),
+        };
+        if !(4..=most).contains(&len) {
+            return bad(format!("a message of type {:?} with {len} bytes", kind as char));
+        }
+        match kind {
+            b'T' | b'D' => {
+                let Some(&[.., x, y]) = inbox.rest().first_chunk::<7>() else { return Ok(Passed::Starved) };
+                let columns = i16::from_be_bytes([x, y]);
+                if kind == b'T' {
+                    self.columns = Some(columns);
+                } else if self.columns != Some(columns) {
+                    return bad(format!("a row of {columns} columns where there are {:?}", self.columns));
+                }
+            }
+            b'S' | b'A' | b'Z' => return self.own(inbox, kind, len),
+            b'E' if !self.begun => return self.own(inbox, kind, len.min(MOST_NOTE)),
+            b'C' | b'I' | b'E' => self.columns = None,
+            _ => {}
+        }
+        self.begun |= kind != b'N';
+        self.left = 1 + len;
+        self.pass(inbox, out)
+    }
+
+    /// A message that this side reads itself.
+    fn own(&mut self, inbox: &mut Inbox, kind: u8, len: usize) -> Result<Passed, Malformed> {
+        let Some(bytes) = inbox.rest().get(5..=len) else { return Ok(Passed::Starved) };
+        let mut body = Body(bytes);
+        let passed = match kind {
+            b'S' => Passed::Note { name: body.text()?, value: body.text()? },
+            b'E' => Passed::Refused(ErrorFields { whole: bytes.to_vec(), ..error_fields(&mut body)? }),
+            b'Z' => Passed::Ready(body.take(1)? == b"I"),
+            // A notification, which nobody here listens for.
+            _ => Passed::Some,
+        };
+        inbox.take(1 + len);
+        Ok(passed)
+    }
+}
+
 /// Walks over the body of one message.
 struct Body<'a>(&'a [u8]);
 
@@ -237,16 +370,22 @@
         80_877_102 => Startup::Cancel,
         80_877_103 | 80_877_104 => Startup::Encryption,
         _ => {
-            let mut options = Vec::new();
+            let (mut options, mut user, mut database) = (Vec::new(), String::new(), None);
             loop {
                 let name = body.text()?;
                 if name.is_empty() {
                     break;
                 }
-                body.text()?;
-                options.extend(Some(name).filter(|n| n.starts_with("_pq_.")));
+                let value = body.text()?;
+                match name.as_str() {
+                    "user" => user = value,
+                    "database" => database = Some(value),
+                    _ => options.extend(Some(name).filter(|n| n.starts_with("_pq_."))),
+                }
             }
-            Startup::Session { minor: (code & 0xffff) as u16, options }
+            // As in PostgreSQL, who names no database means the one of its own name.
+            let database = database.unwrap_or_else(|| user.clone());
+            Startup::Session { minor: (code & 0xffff) as u16, options, user, database }
         }
     };
     inbox.take(len);
@@ -532,6 +671,9 @@
 }
 
 pub fn put_error(out: &mut Vec<u8>, fields: &ErrorFields) {
+    if !fields.whole.is_empty() {
+        return message(out, b'E', |b| b.extend(&fields.whole));
+    }
     let severity = if fields.fatal { "FATAL" } else { "ERROR" };
     let detail = fields.retry_in_ms.map(|ms| ms.to_string());
     message(out, b'E', |b| {
@@ -548,8 +690,10 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Statement {
     text: String,
-    /// Where the figure of `d` stands in the text.
-    d_at: std::ops::Range<usize>,
+    /// Where the figure of `d` stands in the text; nowhere in a plain statement.
+    d_at: Option<std::ops::Range<usize>>,
+    /// Whether the comment names a key by which repeats are dropped.
+    pub keyed: bool,
     pub id: String,
     pub class: String,
     pub patience_ms: u64,
@@ -565,6 +709,7 @@
         let open = text[lead..].strip_prefix("/*").ok_or("no comment leads the statement")?;
         let end = open.find("*/").ok_or("the comment is not closed")?;
         let (mut id, mut class, mut patience, mut group, mut after) = (None, None, None, None, None);
+        let mut keyed = false;
         let mut at = lead + 2;
         for part in open[..end].split(',') {
             let (name, value) = part.split_once('=').ok_or(format!("the comment holds {part:?}"))?;
@@ -583,6 +728,7 @@
                     group = Some(u32::try_from(n).map_err(|_| format!("cluster={n} is no group"))?);
                 }
                 "after" => after = Some(number()?),
+                "k" => keyed = !value.is_empty(),
                 _ => {}
             }
             at += part.len() + 1;
@@ -594,23 +740,48 @@
             group: group.ok_or("the comment has no cluster")?,
             patience_ms,
             after_ms: after,
-            d_at,
+            d_at: Some(d_at),
+            keyed,
             text,
         })
     }
 
+    /// A statement whose terms were found otherwise.
+    pub fn plain(text: String, patience_ms: u64, group: u32) -> Statement {
+        let (id, class) = Default::default();
+        Statement { text, d_at: None, keyed: false, id, class, patience_ms, group, after_ms: None }
+    }
+
+    /// Whether no comment names its terms.
+    pub fn is_plain(&self) -> bool {
+        self.d_at.is_none()
+    }
+
+    /// Whether a text begins with a comment that is meant to name terms, right or wrong. Guards against a request
+    /// with a fault in its comment being taken for a plain statement, and losing its terms.
+    pub fn is_commented(text: &str) -> bool {
+        let Some(comment) = text.trim_start().strip_prefix("/*") else { return false };
+        let comment = comment.split("*/").next().unwrap_or("");
+        let names: Vec<&str> = comment.split(',').filter_map(|p| Some(p.split_once('=')?.0.trim())).collect();
+        ["id", "c", "d", "cluster"].iter().filter(|n| names.contains(n)).count() >= 2
+    }
+
     /// The text as the client wrote it.
     pub fn text(&self) -> &str {
         &self.text
     }
 
     /// The text with `d` set to what the proxy itself will wait; all else unchanged.
-    pub fn with_patience(&self, ms: u64) -> String {
-        format!("{}{ms}{}", &self.text[..self.d_at.start], &self.text[self.d_at.end..])
+    pub fn with_patience(&self, ms: u64) -> Cow<'_, str> {
+        match &self.d_at {
+            Some(at) => format!("{}{ms}{}", &self.text[..at.start], &self.text[at.end..]).into(),
+            None => Cow::Borrowed(&self.text),
+        }
     }
 
     /// The first quoted literal, which names the session.
     pub fn key(&self) -> &str {
-        self.text[self.d_at.end..].split('\'').nth(1).unwrap_or("")
+        let from = self.d_at.as_ref().map_or(0, |at| at.end);
+        self.text[from..].split('\'').nth(1).unwrap_or("")
     }
 }
