Add the lab's commands: a demonstration, stand-ins as processes and measurements

Cause: a newcomer had to write configuration before seeing the proxy serve, and no command repeated a figure of plain statements. sillfold-lab demo starts stand-in hosts, discovery and the proxy and prints a psql line; statements, instructions and memory measure.

--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,169 @@
+//! The lab's commands: stand-ins as processes, the demonstration, and the measurements that the documents quote.
+
+mod measure;
+
+use clap::{Parser, Subcommand};
+use sillfold_lab::{Agent, Client, Entry, Group, Host, Options, Proxy, settings};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Stand-ins for what surrounds the proxy, on loopback only.
+#[derive(Parser)]
+#[command(version, max_term_width = 110)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Start stand-in hosts, discovery and the proxy, and print how to ask.
+    Demo {
+        /// The proxy's program.
+        #[arg(long, default_value = "target/release/sillfold")]
+        program: PathBuf,
+        /// The operator's file.
+        #[arg(long, default_value = "deploy/demo.json5")]
+        operator: PathBuf,
+        /// Where the proxy listens, on loopback.
+        #[arg(long, default_value_t = 15433)]
+        port: u16,
+        /// Ask one statement, print its answer and end: shows that it serves.
+        #[arg(long)]
+        once: bool,
+    },
+    /// Start one stand-in host; it runs until it is ended.
+    Host {
+        /// Where it listens.
+        #[arg(long, default_value = "127.0.0.1:15434")]
+        listen: SocketAddr,
+        /// Whether it takes writes.
+        #[arg(long)]
+        primary: bool,
+        /// How far it is behind, in milliseconds. Alone, it follows only itself.
+        #[arg(long, default_value_t = 0)]
+        lag_ms: u64,
+    },
+    /// Start discovery's agent with a list of hosts; it runs until it is ended.
+    Discovery {
+        /// Hosts as NAME=ADDRESS, the first of them the primary, all in one group.
+        #[arg(required = true)]
+        hosts: Vec<String>,
+        /// Their group.
+        #[arg(long, default_value_t = 3)]
+        group: u32,
+    },
+    /// Measure the reading of statements: time, hits and bytes, warm, new and flooded.
+    Statements {
+        /// One-off shapes of the flood.
+        #[arg(long, default_value_t = 1_000_000)]
+        flood: u32,
+        /// Bytes that the cache may hold.
+        #[arg(long, default_value_t = 2 << 20)]
+        bytes: usize,
+    },
+    /// Count the instructions of a request through proxies, by callgrind, in turn.
+    Instructions {
+        /// Programs to compare, the first being the one before.
+        #[arg(required = true)]
+        programs: Vec<PathBuf>,
+        /// Requests of the longer run; the shorter has a fifth.
+        #[arg(long, default_value_t = 2_000)]
+        requests: usize,
+        /// Ask plain statements, which needs the operator's file, instead of commented ones.
+        #[arg(long)]
+        plain: bool,
+        /// How often each is measured; the median counts.
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+    },
+    /// Measure the memory that proxies hold after their start and after requests, in turn.
+    Memory {
+        /// Programs to compare.
+        #[arg(required = true)]
+        programs: Vec<PathBuf>,
+        /// Requests before the second reading.
+        #[arg(long, default_value_t = 5_000)]
+        requests: usize,
+    },
+}
+
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Demo { program, operator, port, once } => demo(&program, &operator, port, once),
+        Command::Host { listen, primary, lag_ms } => stand_in(listen, primary, lag_ms),
+        Command::Discovery { hosts, group } => discovery(&hosts, group),
+        Command::Statements { flood, bytes } => measure::statements(flood, bytes),
+        Command::Instructions { programs, requests, plain, rounds } => {
+            measure::instructions(&programs, requests, plain, rounds)
+        }
+        Command::Memory { programs, requests } => measure::memory(&programs, requests),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("sillfold-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn until_ended() -> ! {
+    loop {
+        std::thread::park();
+    }
+}
+
+fn stand_in(listen: SocketAddr, primary: bool, lag_ms: u64) -> io::Result<()> {
+    let (name, lag) = (listen.to_string(), Duration::from_millis(lag_ms));
+    let options = Options { name, primary, lag, ..Options::default() };
+    let host = Host::start_at(listen, &Group::new(), options)?;
+    println!("a stand-in host listens on {}", host.address);
+    until_ended()
+}
+
+fn discovery(hosts: &[String], group: u32) -> io::Result<()> {
+    let entries = hosts.iter().enumerate().map(|(i, text)| {
+        let (name, address) = text.split_once('=').unwrap_or((text, text));
+        let address = address.parse().map_err(|e| io::Error::other(format!("{text}: {e}")))?;
+        Ok(Entry { name: name.into(), address, group, status: "SERVING", primary: i == 0 })
+    });
+    let agent = Agent::start(LOOPBACK, entries.collect::<io::Result<Vec<Entry>>>()?)?;
+    println!("discovery listens on {}", agent.address);
+    until_ended()
+}
+
+fn demo(program: &std::path::Path, operator: &std::path::Path, port: u16, once: bool) -> io::Result<()> {
+    let operator = std::fs::read_to_string(operator)
+        .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", operator.display())))?;
+    let group = Group::new();
+    let mut hosts = Vec::new();
+    for (name, primary, lag_ms) in [("s-1", true, 0), ("s-2", false, 20), ("s-3", false, 120)] {
+        let (name, lag) = (name.to_string(), Duration::from_millis(lag_ms));
+        hosts.push(Host::start(LOOPBACK, &group, Options { name, primary, lag, ..Options::default() })?);
+    }
+    let agent = Agent::start(LOOPBACK, hosts.iter().map(|h| Entry::of(h, 3)).collect())?;
+    let at = SocketAddr::new(LOOPBACK, port);
+    let program = program.display().to_string();
+    let mut proxy = Proxy::start(&[&program], at, agent.address, &settings(), Some(&operator))?;
+    println!("The proxy serves on {at}, before a stand-in primary and two replicas. Ask it:\n");
+    println!("  psql \"host=127.0.0.1 port={port} user=web dbname=orders sslmode=disable\" \\");
+    println!("    -c \"INSERT INTO entries (ref, payload) VALUES ('7f', 'first light')\" \\");
+    println!("    -c \"SELECT payload FROM entries WHERE ref = '7f'\"\n");
+    println!("Its figures: curl -s http://{}/ops/stats", proxy.console);
+    let mut client = Client::connect(at, "web", "orders")?;
+    client.ask("INSERT INTO entries (ref, payload) VALUES ('demo', 'it serves')")?;
+    let answer = client.ask("SELECT payload FROM entries WHERE ref = 'demo'")?;
+    println!("Asked here: {}", answer.value().unwrap_or("no answer"));
+    if once {
+        let served = answer.value() == Some("it serves");
+        return if served { Ok(()) } else { Err(io::Error::other(format!("{answer:?}"))) };
+    }
+    println!("Ctrl-C ends all of it.");
+    proxy.wait().map(|_| ())
+}
