Cut tokens by bytes, scan words by a table, keep estimates until experience changes

Tokens are bytes now (beyond ASCII all belong to words), words and quotes are scanned by tables and memchr, and an estimate is made anew only when runs have changed it.

--- a/crates/route/src/cache.rs
+++ b/crates/route/src/cache.rs
@@ -2,11 +2,11 @@
 //! their bytes. It must never hold more bytes than it was given, and never answer for a text other than the
 //! one that it keeps: a hash finds the place, the text decides.
 
-use crate::cost::Sketch;
+use crate::cost::{Costs, Estimate, Sketch};
 use quick_cache::unsync::{Cache, DefaultLifecycle};
 use quick_cache::{DefaultHashBuilder, Equivalent, OptionsBuilder, Weighter};
 use sillfold_sql::Analysis;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::hash::{BuildHasher, Hash, Hasher};
 use std::rc::Rc;
 
@@ -21,12 +21,33 @@
     pub analysis: Analysis,
     /// What it took.
     pub sketch: RefCell<Sketch>,
+    /// The last estimate, and how old the experience was then.
+    estimate: Cell<Option<(u64, Estimate)>>,
 }
 
 impl Shape {
     /// One of which only its text tells so far.
     pub fn new(text: &str, analysis: Analysis) -> Shape {
-        Shape { text: text.into(), analysis, sketch: RefCell::default() }
+        Shape { text: text.into(), analysis, sketch: RefCell::default(), estimate: Cell::default() }
+    }
+
+    /// What it is expected to take. Made anew only when it may have changed: it costs more than the rest of a
+    /// warm reading.
+    pub fn estimate(&self, costs: &Costs) -> Estimate {
+        match self.estimate.get() {
+            Some((age, estimate)) if age == costs.age() => estimate,
+            _ => {
+                let estimate = costs.estimate(&self.analysis, &self.sketch.borrow());
+                self.estimate.set(Some((costs.age(), estimate)));
+                estimate
+            }
+        }
+    }
+
+    /// It was served in this time.
+    pub fn learn(&self, costs: &mut Costs, us: u64) {
+        costs.learn(&self.analysis, &mut self.sketch.borrow_mut(), us);
+        self.estimate.set(None);
     }
 
     /// Its text.
@@ -46,7 +67,7 @@
 
 impl Hash for Key {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        (*self.0.text).hash(state);
+        self.0.text.as_bytes().hash(state);
     }
 }
 
@@ -59,7 +80,7 @@
 impl Eq for Key {}
 
 /// The text that is looked for.
-struct Wanted<'t>(&'t str);
+struct Wanted<'t>(&'t [u8]);
 
 impl Hash for Wanted<'_> {
     fn hash<H: Hasher>(&self, state: &mut H) {
@@ -69,7 +90,7 @@
 
 impl Equivalent<Key> for Wanted<'_> {
     fn equivalent(&self, key: &Key) -> bool {
-        self.0 == &*key.0.text
+        self.0 == key.0.text.as_bytes()
     }
 }
 
@@ -126,7 +147,7 @@
     }
 
     /// The shape with this text, if it is kept.
-    pub fn get(&mut self, text: &str) -> Option<Rc<Shape>> {
+    pub fn get(&mut self, text: &[u8]) -> Option<Rc<Shape>> {
         let found = self.kept.get(&Wanted(text)).cloned();
         match found {
             Some(_) => self.asked.hits += 1,
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -15,6 +15,8 @@
 const SURE: u16 = 8;
 /// The longest estimate.
 const LONGEST_US: f64 = 60_000_000.0;
+/// Estimates of other shapes are made anew after so many runs.
+const RENEWED_AFTER: u64 = 16;
 /// Tables whose experience is kept.
 const TABLES: usize = 1024;
 /// Weight of the old value in a table's experience, and of how many tables of a statement one is kept.
@@ -92,6 +94,7 @@
     base_us: f64,
     tables: Cache<Box<str>, Experience>,
     all: Experience,
+    learnt: u64,
 }
 
 impl Experience {
@@ -105,7 +108,17 @@
 impl Costs {
     /// An estimator for which the simplest statement takes this long, in microseconds, until it learns better.
     pub fn new(base_us: u64) -> Costs {
-        Costs { base_us: base_us.max(1) as f64, tables: Cache::new(TABLES), all: Experience::default() }
+        Costs {
+            base_us: base_us.max(1) as f64,
+            tables: Cache::new(TABLES),
+            all: Experience::default(),
+            learnt: 0,
+        }
+    }
+
+    /// How old an estimate may be: it changes with every so many runs, of whatever shape.
+    pub fn age(&self) -> u64 {
+        self.learnt / RENEWED_AFTER
     }
 
     /// What the tree alone lets expect.
@@ -147,6 +160,7 @@
     /// A run of a shape was served in this time; its sketch takes it in, and its tables do.
     pub fn learn(&mut self, analysis: &Analysis, sketch: &mut Sketch, us: u64) {
         sketch.add(us);
+        self.learnt += 1;
         let ratio = (us.max(1) as f64 / self.guess(&analysis.features)).log2();
         self.all.learn(ratio);
         for table in analysis.tables.iter().take(TABLES_EACH) {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -188,7 +188,7 @@
     pub fn read(&mut self, text: &str) -> Result<Read, Unreadable> {
         self.reading.shrink(KEPT_BYTES);
         self.reading.read(text)?;
-        let (shape, cached) = match self.shapes.get(self.reading.shape()) {
+        let (shape, cached) = match self.shapes.get(self.reading.shape_bytes()) {
             Some(shape) => (shape, true),
             None => {
                 let analysis = judge(self.reading.shape(), &self.functions, &self.options.bounds);
@@ -197,7 +197,7 @@
                 (shape, false)
             }
         };
-        let estimate = self.costs.estimate(&shape.analysis, &shape.sketch.borrow());
+        let estimate = shape.estimate(&self.costs);
         let unsure = self.reading.unsure();
         // Not the shape's alone: another setting of the server may cut this text otherwise.
         let (effect, why) = if unsure {
@@ -263,6 +263,6 @@
 
     /// A statement of this shape was served in this time.
     pub fn learn(&mut self, shape: &Shape, us: u64) {
-        self.costs.learn(&shape.analysis, &mut shape.sketch.borrow_mut(), us);
+        shape.learn(&mut self.costs, us);
     }
 }
--- a/crates/route/tests/route.rs
+++ b/crates/route/tests/route.rs
@@ -345,11 +345,11 @@
     texts.iter().for_each(|t| shapes.put(Rc::new(shape(t))));
     for (i, text) in texts.iter().enumerate() {
         let wanted = shape(text);
-        let found = shapes.get(wanted.text()).expect("kept");
+        let found = shapes.get(wanted.text().as_bytes()).expect("kept");
         assert_eq!(found.text(), wanted.text());
         assert_eq!(found.analysis.effect, [Effect::Read, Effect::Write][i % 2]);
     }
-    assert!(shapes.get("select lower ( b ) from t0 ").is_none());
+    assert!(shapes.get(b"select lower ( b ) from t0 ").is_none());
 }
 
 #[test]
--- a/crates/sql/src/lex.rs
+++ b/crates/sql/src/lex.rs
@@ -2,7 +2,7 @@
 //! where a token begins and ends, as PostgreSQL's own scanner sees it. It must never judge a statement,
 //! and never drop anything of which a verdict depends: only literals, comments and white space go.
 
-use logos::{Lexer, Logos};
+use logos::{Lexer, Logos, Skip};
 use std::ops::Range;
 
 /// Why a text is no statement at all, whatever the server's settings are.
@@ -32,15 +32,14 @@
 
 /// A token as it stands in the text.
 #[derive(Logos, Clone, Copy, Debug, PartialEq, Eq)]
-#[logos(error = Unended)]
+// Bytes, not characters: beyond ASCII all belong to words, and a text that is UTF-8 is never cut inside one.
+#[logos(error = Unended, utf8 = false)]
+#[logos(skip r"[ \t\r\n\x0b\x0c]+")]
 pub(crate) enum Token {
-    #[regex(r"[ \t\r\n\x0b\x0c]+")]
-    Space,
-    #[regex(r"--[^\r\n]*", allow_greedy = true)]
-    LineComment,
+    #[regex(r"--[^\r\n]*", logos::skip, allow_greedy = true)]
     #[token("/*", block_comment)]
-    BlockComment,
-    #[regex(r"[A-Za-z_\u{80}-\u{10ffff}][A-Za-z0-9_$\u{80}-\u{10ffff}]*")]
+    Comment,
+    #[regex(r"[A-Za-z_\x80-\xff]", word)]
     Word,
     #[token("\"", quoted_name)]
     Quoted,
@@ -55,7 +54,7 @@
     Unicode(bool),
     #[regex("[bBxX]'", plain_string)]
     Bits(bool),
-    #[regex(r"\$([A-Za-z_\u{80}-\u{10ffff}][A-Za-z0-9_\u{80}-\u{10ffff}]*)?\$", dollar_string)]
+    #[regex(r"\$([A-Za-z_\x80-\xff][A-Za-z0-9_\x80-\xff]*)?\$", dollar_string)]
     Dollar,
     #[regex(r"\$[0-9]+")]
     Parameter,
@@ -93,9 +92,25 @@
 
 type Cut<'s> = Lexer<'s, Token>;
 
+/// What may stand in a word behind its first byte.
+const WORD: [bool; 256] = {
+    let (mut table, mut b) = ([false; 256], 0);
+    while b < 256 {
+        table[b] = (b as u8).is_ascii_alphanumeric() || b == b'_' as usize || b == b'$' as usize || b >= 0x80;
+        b += 1;
+    }
+    table
+};
+
+/// The rest of a word. Most bytes of a statement are in words, and a table takes a third of what states take.
+fn word(lex: &mut Cut) {
+    let rest = lex.remainder();
+    lex.bump(rest.iter().position(|&b| !WORD[usize::from(b)]).unwrap_or(rest.len()));
+}
+
 /// Comments nest, as in PostgreSQL and not in most other languages.
-fn block_comment(lex: &mut Cut) -> Result<(), Unended> {
-    let bytes = lex.remainder().as_bytes();
+fn block_comment(lex: &mut Cut) -> Result<Skip, Unended> {
+    let bytes = lex.remainder();
     let (mut depth, mut at) = (1usize, 0);
     while depth > 0 {
         match bytes.get(at..at + 2).ok_or(Unended)? {
@@ -105,14 +120,14 @@
         }
     }
     lex.bump(at);
-    Ok(())
+    Ok(Skip)
 }
 
 fn quoted_name(lex: &mut Cut) -> Result<(), Unended> {
-    let bytes = lex.remainder().as_bytes();
+    let bytes = lex.remainder();
     let mut at = 0;
     loop {
-        at += bytes[at..].iter().position(|&b| b == b'"').ok_or(Unended)? + 1;
+        at += memchr::memchr(b'"', &bytes[at..]).ok_or(Unended)? + 1;
         if bytes.get(at) != Some(&b'"') {
             lex.bump(at);
             return Ok(());
@@ -146,10 +161,10 @@
 /// A string whose backslashes mean nothing, up to its end. True where with `standard_conforming_strings`
 /// off a backslash would hide one of its quotes, so that the string would end elsewhere.
 fn plain_string(lex: &mut Cut) -> Result<bool, Unended> {
-    let bytes = lex.remainder().as_bytes();
+    let bytes = lex.remainder();
     let (mut at, mut unsure, mut begun) = (0, false, 0);
     loop {
-        at += bytes[at..].iter().position(|&b| b == b'\'').ok_or(Unended)?;
+        at += memchr::memchr(b'\'', &bytes[at..]).ok_or(Unended)?;
         let slashes = bytes[begun..at].iter().rev().take_while(|&&b| b == b'\\').count();
         unsure |= slashes % 2 == 1;
         at += 1;
@@ -166,7 +181,7 @@
 }
 
 fn escape_string(lex: &mut Cut) -> Result<(), Unended> {
-    let bytes = lex.remainder().as_bytes();
+    let bytes = lex.remainder();
     let mut at = 0;
     loop {
         match bytes.get(at).ok_or(Unended)? {
@@ -184,16 +199,22 @@
 }
 
 fn dollar_string(lex: &mut Cut) -> Result<(), Unended> {
-    let end = lex.remainder().find(lex.slice()).ok_or(Unended)?;
-    let length = lex.slice().len();
-    lex.bump(end + length);
-    Ok(())
+    let (tag, rest) = (lex.slice(), lex.remainder());
+    let mut at = 0;
+    loop {
+        at += memchr::memchr(b'$', &rest[at..]).ok_or(Unended)?;
+        if rest[at..].starts_with(tag) {
+            lex.bump(at + tag.len());
+            return Ok(());
+        }
+        at += 1;
+    }
 }
 
 /// The rest of an operator, as PostgreSQL's scanner cuts it: up to a comment, and without a sign at its end
 /// unless it holds a character that no operator of standard SQL has.
 fn operator(lex: &mut Cut) {
-    let bytes = &lex.source().as_bytes()[lex.span().start..];
+    let bytes = &lex.source()[lex.span().start..];
     let symbol = |b: &&u8| b"+-*/<>=~!@#%^&|`?".contains(b);
     let whole = &bytes[..bytes.iter().take_while(symbol).count()];
     let comment = whole.windows(2).skip(1).position(|w| w == b"--" || w == b"/*");
@@ -240,7 +261,7 @@
 /// The reading of one statement's text; kept and used again, so that a warm reading allocates nothing.
 #[derive(Default)]
 pub struct Reading {
-    shape: String,
+    shape: Vec<u8>,
     slots: Vec<Slot>,
     groups: Vec<Group>,
     /// The group that ended last outside all others.
@@ -254,6 +275,11 @@
 impl Reading {
     /// The shape: tokens, each followed by a space; every string is `'?'` and every number `0`.
     pub fn shape(&self) -> &str {
+        // All of it is ASCII or whole words of a text that is UTF-8.
+        std::str::from_utf8(&self.shape).unwrap_or_default()
+    }
+    /// The same as bytes, which is how a cache looks for it.
+    pub fn shape_bytes(&self) -> &[u8] {
         &self.shape
     }
     /// The literals, in the order of the shape's placeholders.
@@ -272,7 +298,7 @@
     /// Gives memory back beyond so many bytes of shape. Guards against one long statement's keeping it.
     pub fn shrink(&mut self, bytes: usize) {
         if self.shape.capacity() > bytes {
-            self.shape = String::new();
+            self.shape = Vec::new();
             self.slots = Vec::new();
         }
     }
@@ -292,15 +318,12 @@
         (self.statements, self.unsure, self.outermost) = (0, false, None);
         self.beyond = 0;
         let (mut begun, mut creates, mut atomic) = (false, false, 0);
-        if text.as_bytes().contains(&0) {
+        if memchr::memchr(0, text.as_bytes()).is_some() {
             return Err(Unreadable::Nul);
         }
-        let mut lex = Token::lexer(text);
+        let mut lex = Token::lexer(text.as_bytes());
         while let Some(token) = lex.next() {
             let token = token.map_err(|Unended| Unreadable::Unended)?;
-            if matches!(token, Token::Space | Token::LineComment | Token::BlockComment) {
-                continue;
-            }
             if token == Token::Semicolon && atomic == 0 {
                 (begun, creates) = (false, false);
                 continue;
@@ -308,10 +331,10 @@
             if token == Token::Word && (creates || !begun) {
                 // The body of a function between BEGIN ATOMIC and END is one statement with its CREATE.
                 let word = lex.slice();
-                let is = |w: &str| word.eq_ignore_ascii_case(w);
+                let is = |w: &str| word.eq_ignore_ascii_case(w.as_bytes());
                 creates |= is("create");
                 match atomic {
-                    0 if is("atomic") && self.shape.ends_with("begin ") => atomic = 1,
+                    0 if is("atomic") && self.shape.ends_with(b"begin ") => atomic = 1,
                     0 => {}
                     _ if is("case") => atomic += 1,
                     _ if is("end") => atomic -= 1,
@@ -324,77 +347,76 @@
             if !begun {
                 (begun, self.statements) = (true, self.statements + 1);
                 if self.statements > 1 {
-                    self.shape.push_str("; ");
+                    self.shape.extend_from_slice(b"; ");
                 }
                 self.groups.clear();
                 (self.outermost, self.beyond) = (None, 0);
             }
-            self.take(token, &lex);
+            self.take(token, lex.slice(), lex.span());
         }
         if self.statements == 0 { Err(Unreadable::Empty) } else { Ok(()) }
     }
 
-    fn take(&mut self, token: Token, lex: &Cut) {
-        let slice = lex.slice();
+    fn take(&mut self, token: Token, slice: &[u8], span: Range<usize>) {
         match token {
             Token::Word => {
                 let at = self.shape.len();
-                self.shape.push_str(slice);
+                self.shape.extend_from_slice(slice);
                 self.shape[at..].make_ascii_lowercase();
-                self.shape.push(' ');
+                self.shape.push(b' ');
             }
             Token::Plain(unsure) | Token::Unicode(unsure) => {
                 self.unsure |= unsure;
-                self.literal("'?' ", lex.span());
+                self.literal(b"'?' ", span);
             }
             Token::Bits(unsure) => {
                 self.unsure |= unsure;
-                self.literal("b'?' ", lex.span());
+                self.literal(b"b'?' ", span);
             }
-            Token::Escape | Token::Dollar => self.literal("'?' ", lex.span()),
-            Token::Number => self.literal("0 ", lex.span()),
+            Token::Escape | Token::Dollar => self.literal(b"'?' ", span),
+            Token::Number => self.literal(b"0 ", span),
             // Guards against a memory that grows with the depth of what will not be parsed anyway.
             Token::Open | Token::OpenBracket if self.groups.len() >= DEEPEST => {
                 self.beyond += 1;
-                self.shape.push_str(if token == Token::Open { "( " } else { "[ " });
+                self.shape.extend_from_slice(if token == Token::Open { b"( " } else { b"[ " });
             }
             Token::Close | Token::CloseBracket if self.beyond > 0 => {
                 self.beyond -= 1;
-                self.shape.push_str(if token == Token::Close { ") " } else { "] " });
+                self.shape.extend_from_slice(if token == Token::Close { b") " } else { b"] " });
             }
             Token::Open | Token::OpenBracket => {
-                let before = self.shape.trim_end();
-                let list = [" in", " any", " all", " some"].iter().any(|w| before.ends_with(w));
+                let lists: [&[u8]; 4] = [b" in ", b" any ", b" all ", b" some "];
+                let list = lists.iter().any(|w| self.shape.ends_with(w));
                 let list = list || token == Token::OpenBracket;
                 let (begin, slots) = (self.shape.len(), self.slots.len());
-                self.shape.push_str(if token == Token::Open { "( " } else { "[ " });
+                self.shape.extend_from_slice(if token == Token::Open { b"( " } else { b"[ " });
                 let element = self.shape.len();
                 let (element_slots, literals, inner) = (slots, false, None);
                 self.groups.push(Group { begin, slots, list, element, element_slots, literals, inner });
             }
             Token::Close | Token::CloseBracket => {
                 self.end_element();
-                self.shape.push_str(if token == Token::Close { ") " } else { "] " });
+                self.shape.extend_from_slice(if token == Token::Close { b") " } else { b"] " });
                 self.close();
             }
-            Token::Comma if self.beyond > 0 => self.shape.push_str(", "),
+            Token::Comma if self.beyond > 0 => self.shape.extend_from_slice(b", "),
             Token::Comma => {
                 if !self.end_element() {
-                    self.shape.push_str(", ");
+                    self.shape.extend_from_slice(b", ");
                 }
                 if let Some(group) = self.groups.last_mut() {
                     (group.element, group.element_slots) = (self.shape.len(), self.slots.len());
                 }
             }
             _ => {
-                self.shape.push_str(slice);
-                self.shape.push(' ');
+                self.shape.extend_from_slice(slice);
+                self.shape.push(b' ');
             }
         }
     }
 
-    fn literal(&mut self, placeholder: &str, at: Range<usize>) {
-        self.shape.push_str(placeholder);
+    fn literal(&mut self, placeholder: &[u8], at: Range<usize>) {
+        self.shape.extend_from_slice(placeholder);
         self.slots.push(Slot { at, many: false });
     }
 
@@ -406,11 +428,11 @@
             return false;
         }
         let element = &self.shape[group.element..];
-        let literal = element.strip_prefix("- ").or(element.strip_prefix("+ ")).unwrap_or(element);
-        let literal = match literal {
-            "'?' " => "'?' ",
-            "0 " => "0 ",
-            "b'?' " => "b'?' ",
+        let literal = element.strip_prefix(b"- ").or(element.strip_prefix(b"+ ")).unwrap_or(element);
+        let literal: &[u8] = match literal {
+            b"'?' " => b"'?' ",
+            b"0 " => b"0 ",
+            b"b'?' " => b"b'?' ",
             _ => {
                 group.literals = false;
                 return false;
@@ -426,7 +448,7 @@
             return true;
         }
         // Without its sign, as the others go.
-        self.shape.push_str(literal);
+        self.shape.extend_from_slice(literal);
         group.literals = true;
         false
     }
@@ -436,8 +458,8 @@
         let Some(group) = self.groups.pop() else { return };
         // A list that folded ends in a comma that nothing follows.
         let tail = self.shape.len() - 2;
-        if group.literals && self.shape[..tail].ends_with(", ") {
-            self.shape.replace_range(tail - 2..tail, "");
+        if group.literals && self.shape[..tail].ends_with(b", ") {
+            self.shape.drain(tail - 2..tail);
         }
         let last = Ended { begin: group.begin, end: self.shape.len(), slots: group.slots };
         let outer = self.groups.last_mut();
@@ -466,23 +488,19 @@
 
 /// Whether two neighbours, a comma between, are the same to the letter, and neither belongs to a name before
 /// it: rows of VALUES, or tuples in a list. Guards against the arguments of a call passing for a row.
-fn same(shape: &str, before: &Ended, last: &Ended) -> bool {
+fn same(shape: &[u8], before: &Ended, last: &Ended) -> bool {
     let head = &shape[..before.begin];
-    &shape[before.end..last.begin] == ", "
+    &shape[before.end..last.begin] == b", "
         && shape[before.begin..before.end] == shape[last.begin..last.end]
-        && (head.ends_with("values ") || head.ends_with("( ") || head.ends_with(", "))
+        && (head.ends_with(b"values ") || head.ends_with(b"( ") || head.ends_with(b", "))
 }
 
 /// The tokens of a shape, in order: a shape is a text that reads as itself.
 pub(crate) fn tokens(shape: &str) -> impl Iterator<Item = (Token, &str)> {
-    let mut lex = Token::lexer(shape);
+    let mut lex = Token::lexer(shape.as_bytes());
     std::iter::from_fn(move || {
-        loop {
-            let token = lex.next()?.unwrap_or(Token::Other);
-            if token != Token::Space {
-                return Some((token, lex.slice()));
-            }
-        }
+        let token = lex.next()?.unwrap_or(Token::Other);
+        Some((token, &shape[lex.span()]))
     })
 }
 
