--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# Build, test, lint and run; `make run` wants LB_CONFIG to name a configuration file.
-.PHONY: build test lint run
+# Build, test, lint, run and measure; `make run` wants LB_CONFIG to name a configuration file.
+.PHONY: build test lint run demo fuzz measure
 
 build:
 	cargo build --release --locked
@@ -13,3 +13,25 @@
 
 run: build
 	exec target/release/sillfold
+
+# Stand-in hosts, discovery and the proxy, and a line to ask it by.
+demo:
+	cargo build --release --locked --workspace
+	exec target/release/sillfold-lab demo
+
+# Any bytes as a statement, for so many seconds; coverage by the compiler's own pass.
+FUZZ_SECONDS ?= 60
+# Naming the target keeps the flags off build scripts.
+HOST = $(shell rustc -vV | sed -n 's/^host: //p')
+FUZZ_FLAGS = -Cpasses=sancov-module -Cllvm-args=-sanitizer-coverage-level=4 \
+	-Cllvm-args=-sanitizer-coverage-inline-8bit-counters -Cllvm-args=-sanitizer-coverage-pc-table
+fuzz:
+	cd crates/sql/fuzz && RUSTFLAGS="$(FUZZ_FLAGS)" cargo build --release --target $(HOST) --target-dir ../../../target/fuzz
+	mkdir -p target/fuzz/corpus
+	grep -v '^#' crates/sql/tests/corpus.txt | sed 's/^[a-z]* | [^|]* | //' | split -l 1 - target/fuzz/corpus/s
+	target/fuzz/$(HOST)/release/sillfold-sql-fuzz -max_total_time=$(FUZZ_SECONDS) -max_len=4096 target/fuzz/corpus
+
+# What docs/statements.md quotes.
+measure:
+	cargo build --release --locked --workspace
+	target/release/sillfold-lab statements
