--- a/crates/sql/src/tree.rs
+++ b/crates/sql/src/tree.rs
@@ -361,6 +361,9 @@
             Expr::BinaryOp { op: BinaryOperator::PGCustomBinaryOperator(_), .. } => {
                 self.verdict(Effect::Write, "OPERATOR() may name anybody's");
             }
+            Expr::BinaryOp { op: BinaryOperator::Custom(_) | BinaryOperator::Spaceship, .. } => {
+                self.verdict(Effect::Write, "it has an operator that is not known");
+            }
             Expr::Identifier(_)
             | Expr::CompoundIdentifier(_)
             | Expr::CompoundFieldAccess { .. }
--- a/crates/sql/src/verdict.rs
+++ b/crates/sql/src/verdict.rs
@@ -243,6 +243,9 @@
             }
             Err(what) => analysis.stricter(Effect::Write, format!("it does not parse: {what}")),
         }
+    } else {
+        // Whatever the tokens say: what only one judge has seen is no read.
+        analysis.stricter(Effect::Write, "it is not parsed");
     }
     if analysis.effect == Effect::Session && analysis.uncarried.is_none() {
         analysis.uncarried = Some(Uncarried::Session);
