--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -486,3 +486,16 @@
     assert_eq!(client.ask("SELECT 1").expect("an answer").code(), "42601");
     assert!(fleet.agent.address.port() > 0);
 }
+
+#[test]
+fn the_log_is_json_where_that_is_wanted() {
+    let one = host(&Group::new(), "s-1", true, 0);
+    let agent = Agent::start(address(), vec![Entry::of(&one, 3)]).expect("an agent");
+    let words = [PROGRAM, "serve", "--log", "json"];
+    let proxy = Proxy::start_anywhere(&words, agent.address, &settings(), None).expect("it serves");
+    proxy.signal("HUP").expect("signalled");
+    let line = proxy.logged("reloaded").expect("logged");
+    let line: serde_json::Value = serde_json::from_str(&line).expect("an object a line");
+    assert_eq!((&line["level"], &line["target"]), (&"INFO".into(), &"sillfold".into()));
+    assert!(line["message"].as_str().is_some_and(|m| m.starts_with("reloaded, discovery is")), "{line}");
+}
