End the demonstration's proxy also where only the lab is ended

Cause: SIGTERM to the lab alone left the proxy running. It waits for the signal now and ends the proxy by its own hand; tried, none is left.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,8 @@
 mod measure;
 
 use clap::{Parser, Subcommand};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use sillfold_lab::{Agent, Client, Entry, Group, Host, Options, Proxy, settings};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -150,7 +152,7 @@
     let agent = Agent::start(LOOPBACK, hosts.iter().map(|h| Entry::of(h, 3)).collect())?;
     let at = SocketAddr::new(LOOPBACK, port);
     let program = program.display().to_string();
-    let mut proxy = Proxy::start(&[&program], at, agent.address, &settings(), Some(&operator))?;
+    let proxy = Proxy::start(&[&program], at, agent.address, &settings(), Some(&operator))?;
     println!("The proxy serves on {at}, before a stand-in primary and two replicas. Ask it:\n");
     println!("  psql \"host=127.0.0.1 port={port} user=web dbname=orders sslmode=disable\" \\");
     println!("    -c \"INSERT INTO entries (ref, payload) VALUES ('7f', 'first light')\" \\");
@@ -165,5 +167,9 @@
         return if served { Ok(()) } else { Err(io::Error::other(format!("{answer:?}"))) };
     }
     println!("Ctrl-C ends all of it.");
-    proxy.wait().map(|_| ())
+    // Guards against a proxy that is left behind where only this process is ended.
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    signals.forever().next();
+    drop(proxy);
+    Ok(())
 }
