Model a fleet's capacity: queues, feedback, saturation, sizes, losses and what-ifs

Cause: operators want to know what breaks first. The pure crate sillfold-plan has each resource by itself, queues of several servers with general service times (Erlang C, Lee and Longton), the fixed point of failures and further tries from both its ends, and answers with intervals and the input on which they hang most.

--- /dev/null
+++ b/crates/plan/src/lib.rs
@@ -0,0 +1,17 @@
+//! A model of a fleet's capacity: which resource saturates first and at what multiple of the load, how many hosts a
+//! goal needs, what a loss does and whether the fleet comes back. Pure: it is given a fleet and a load, and answers.
+//!
+//! ```
+//! use sillfold_plan::queue::Station;
+//!
+//! // One server, half busy, exponential: the mean wait is as long as the service.
+//! let station = Station { servers: 1, rate: 50.0, mean: 0.01, cv2: 1.0 };
+//! assert!((station.mean_wait() - 0.01).abs() < 1e-12);
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod answers;
+pub mod fleet;
+pub mod model;
+pub mod queue;
--- /dev/null
+++ b/crates/plan/src/model.rs
@@ -0,0 +1,364 @@
+//! One group under load: where its work goes, what is busy, who is served in time, and where the loop of failures
+//! and further tries comes to rest. It owns the fixed point. It must never report one state of a group that has
+//! two without saying so.
+
+use crate::fleet::{ClassLoad, Fleet, Group, Load, Need};
+use crate::queue::{Service, Station, mixed};
+use std::collections::BTreeMap;
+
+/// A station this busy is taken for full: formulas end at 1.
+const FULL: f64 = 0.985;
+/// Steps towards the fixed point, the part of the way that the first goes, after how many a step is half as long,
+/// and when the point counts as reached. Guards against a loop that swings round a steep point for ever.
+const STEPS: usize = 400;
+const PART: f64 = 0.4;
+const HALVED: f64 = 40.0;
+const REST: f64 = 1e-6;
+/// Two ends of the loop that differ by more than this are two states.
+const APART: f64 = 0.05;
+
+/// Changes to what is, for questions that begin with "what if".
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// All of the load, this many times.
+    pub load: f64,
+    /// Some classes, this many times.
+    pub classes: BTreeMap<String, f64>,
+    /// Applying a write takes this many times as long.
+    pub apply: f64,
+    /// What hosts can do, as a share: under 1 while they are cold.
+    pub warmth: f64,
+}
+
+impl Default for Change {
+    fn default() -> Change {
+        Change { load: 1.0, classes: BTreeMap::new(), apply: 1.0, warmth: 1.0 }
+    }
+}
+
+/// A resource that may be the first to saturate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Resource {
+    /// The cores of a group's primary, by its writes.
+    PrimaryCores,
+    /// All cores of a group.
+    GroupCores,
+    /// The one thread by which a replica applies the log.
+    ApplyThread,
+    /// Connections of a host.
+    Connections,
+    /// Cores of the proxies.
+    ProxyCores,
+    /// What goes between rooms.
+    Crossing,
+}
+
+impl Resource {
+    /// Its name in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Resource::PrimaryCores => "primary cores",
+            Resource::GroupCores => "group cores",
+            Resource::ApplyThread => "apply thread",
+            Resource::Connections => "connections",
+            Resource::ProxyCores => "proxy cores",
+            Resource::Crossing => "crossing",
+        }
+    }
+}
+
+/// What becomes of one class in one group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Served {
+    /// Its name.
+    pub class: String,
+    /// First tries a second.
+    pub asked: f64,
+    /// The share of requests that are served in time, by whichever try.
+    pub in_time: f64,
+    /// What each is worth.
+    pub worth: f64,
+}
+
+/// One state in which a group comes to rest.
+#[derive(Clone, Debug, PartialEq)]
+pub struct State {
+    /// What becomes of each class.
+    pub served: Vec<Served>,
+    /// How busy each resource of the group is, 1 being its bound.
+    pub busy: Vec<(Resource, f64)>,
+    /// Tries a second for each first one.
+    pub amplification: f64,
+    /// The share of bounded reads that replicas are too far behind for.
+    pub out_of_bound: f64,
+}
+
+impl State {
+    /// The share of the worth asked for that is served in time.
+    pub fn worth(&self) -> f64 {
+        let asked: f64 = self.served.iter().map(|s| s.asked * s.worth).sum();
+        let got: f64 = self.served.iter().map(|s| s.asked * s.worth * s.in_time).sum();
+        if asked > 0.0 { got / asked } else { 1.0 }
+    }
+    /// The lowest share in time of any class that is asked for.
+    pub fn worst(&self) -> f64 {
+        self.served.iter().filter(|s| s.asked > 0.0).map(|s| s.in_time).fold(1.0, f64::min)
+    }
+}
+
+/// Where a group comes to rest: from no failures, and from all failing if that is another state.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rest {
+    /// The better state.
+    pub better: State,
+    /// The worse one, from which it will not come back by itself.
+    pub worse: Option<State>,
+}
+
+/// One class as a group sees it.
+struct Part<'a> {
+    name: &'a str,
+    need: Need,
+    /// First tries a second in this group.
+    asked: f64,
+    /// Seconds of a core of speed 1.
+    mean: f64,
+    cv2: f64,
+    goal: f64,
+    bound: f64,
+    worth: f64,
+    retries: u32,
+    wasted: f64,
+    service: Service,
+}
+
+/// A group's hosts.
+#[derive(Clone, Copy)]
+struct Hosts {
+    primary: f64,
+    primary_servers: u32,
+    replicas: u32,
+    /// Cores of all replicas, and the servers of one.
+    replica_cores: f64,
+    replica_servers: u32,
+    /// Speed of a replica's core, for its apply thread.
+    speed: f64,
+    connections: f64,
+}
+
+/// Shares of the groups in the load, by their place.
+pub fn shares(fleet: &Fleet, load: &Load) -> Vec<f64> {
+    let of =
+        |g: &Group| if load.groups.is_empty() { g.share } else { *load.groups.get(&g.id).unwrap_or(&0.0) };
+    let all: f64 = fleet.groups.iter().map(of).sum();
+    fleet.groups.iter().map(|g| if all > 0.0 { of(g) / all } else { 0.0 }).collect()
+}
+
+fn hosts(fleet: &Fleet, group: &Group, warmth: f64) -> Hosts {
+    let kind = |name: &str| fleet.kinds.get(name);
+    let mut h = Hosts {
+        primary: 0.0,
+        primary_servers: 1,
+        replicas: 0,
+        replica_cores: 0.0,
+        replica_servers: 1,
+        speed: 1.0,
+        connections: f64::INFINITY,
+    };
+    for m in &group.members {
+        let Some(k) = kind(&m.kind) else { continue };
+        let cores = f64::from(k.cores) * k.speed * warmth;
+        h.connections = h.connections.min(f64::from(k.connections));
+        if m.primary {
+            (h.primary, h.primary_servers) = (cores, k.cores);
+        } else {
+            h.replicas += m.count;
+            h.replica_cores += cores * f64::from(m.count);
+            h.replica_servers = k.cores;
+            h.speed = k.speed;
+        }
+    }
+    h
+}
+
+fn parts<'a>(fleet: &'a Fleet, load: &'a Load, share: f64, change: &Change) -> Vec<Part<'a>> {
+    let part = |(name, c): (&'a String, &'a ClassLoad)| {
+        let class = fleet.classes.get(name)?;
+        let times = change.load * change.classes.get(name).copied().unwrap_or(1.0);
+        let mean = c.mean_ms / 1e3;
+        Some(Part {
+            name,
+            need: class.need,
+            asked: c.per_s * share * times,
+            mean,
+            cv2: c.cv2,
+            goal: (class.goal_ms - 2.0 * fleet.crossing.ms * fleet.crossing.share).max(0.1) / 1e3,
+            bound: class.bound_ms / 1e3,
+            worth: class.worth,
+            retries: class.retries,
+            wasted: class.wasted,
+            service: Service::new(mean, c.cv2),
+        })
+    };
+    load.classes.iter().filter_map(part).collect()
+}
+
+/// What one round of the loop makes of the shares that fail.
+struct Round {
+    fails: Vec<f64>,
+    busy: Vec<(Resource, f64)>,
+    out_of_bound: f64,
+}
+
+/// Work a second of a class that hosts see, where this share of its tries fails: of the tries that fail only
+/// the wasted part is done.
+fn tries(p: &Part, fails: f64) -> (f64, f64) {
+    let all: f64 = (0..=p.retries).map(|k| fails.powi(k as i32)).sum();
+    (p.asked * all, p.asked * all * (1.0 - fails + fails * p.wasted))
+}
+
+fn round(parts: &[Part], h: &Hosts, apply: f64, fails: &[f64]) -> Round {
+    let worked: Vec<f64> = parts.iter().zip(fails).map(|(p, f)| tries(p, *f).1).collect();
+    let writes: f64 = parts.iter().zip(&worked).filter(|(p, _)| p.need == Need::Write).map(|(_, r)| *r).sum();
+    // A replica that is cold applies no slower: the thread is one, and the log comes first.
+    let log = Station { servers: 1, rate: writes, mean: apply / h.speed, cv2: 1.0 };
+    let lag = Service::new(log.mean, 0.5);
+    let behind = |p: &Part| match p.need {
+        Need::Bounded if h.replicas == 0 || log.utilisation() >= FULL => 1.0,
+        Need::Bounded if apply > 0.0 => log.late(&lag, p.bound),
+        _ => 0.0,
+    };
+    let out: Vec<f64> = parts.iter().map(behind).collect();
+    // What only the primary may do, and what any may.
+    let (mut bound, mut free) = (0.0, 0.0);
+    for ((p, r), o) in parts.iter().zip(&worked).zip(&out) {
+        let work = r * p.mean;
+        match p.need {
+            Need::Write => bound += work,
+            Need::Bounded | Need::Any => {
+                bound += work * o;
+                free += work * (1.0 - o);
+            }
+        }
+    }
+    let (cp, cr) = (h.primary.max(1e-9), h.replica_cores);
+    // Replicas first; the primary takes what makes both equally busy.
+    let at_primary = if cr > 0.0 { ((free * cp - cr * bound) / (cr + cp)).clamp(0.0, free) } else { free };
+    let split = if free > 0.0 { at_primary / free } else { 0.0 };
+    let primary_share = |p: &Part, o: f64| if p.need == Need::Write { 1.0 } else { o + (1.0 - o) * split };
+    let speed = |cores: f64, servers: u32| cores / f64::from(servers.max(1));
+    let (sp, sr) =
+        (speed(cp, h.primary_servers), speed(cr / f64::from(h.replicas.max(1)), h.replica_servers).max(1e-9));
+    let each = || parts.iter().zip(&worked).zip(&out);
+    let primary = mixed(
+        h.primary_servers,
+        each().map(|((p, r), &o)| (r * primary_share(p, o), p.mean / sp.max(1e-9), p.cv2)),
+    );
+    let replica = mixed(
+        h.replica_servers,
+        each().map(|((p, r), &o)| {
+            (r * (1.0 - primary_share(p, o)) / f64::from(h.replicas.max(1)), p.mean / sr, p.cv2)
+        }),
+    );
+    let late = |station: &Station, p: &Part, speed: f64| {
+        let rho = station.utilisation();
+        // Beyond what it can do the newest go first, so that what it does is in time, and the rest is not.
+        let (kept, station) = if rho > FULL {
+            (FULL / rho, Station { rate: station.rate * FULL / rho, ..*station })
+        } else {
+            (1.0, *station)
+        };
+        // A slower core stretches the service: the goal shrinks instead.
+        let on_time = 1.0 - station_late(&station, p, speed);
+        1.0 - kept * on_time
+    };
+    let fails = each()
+        .map(|((p, _), &o)| {
+            let share = primary_share(p, o);
+            let at_replica = if share < 1.0 { late(&replica, p, sr) } else { 0.0 };
+            share * late(&primary, p, sp) + (1.0 - share) * at_replica
+        })
+        .collect();
+    let written: f64 =
+        parts.iter().zip(&worked).filter(|(p, _)| p.need == Need::Write).map(|(p, r)| p.mean * r).sum();
+    let in_host = |s: &Station| {
+        let s = Station { rate: s.rate.min(s.rate * FULL / s.utilisation().max(FULL)), ..*s };
+        s.rate * (s.mean_wait().min(1e6) + s.mean)
+    };
+    let mut busy = vec![
+        (Resource::PrimaryCores, written / cp),
+        (Resource::GroupCores, (bound + free) / (cp + cr)),
+        (Resource::Connections, in_host(&primary).max(in_host(&replica)) / h.connections),
+    ];
+    if h.replicas > 0 {
+        busy.push((Resource::ApplyThread, log.utilisation()));
+    }
+    let bounded: Vec<f64> =
+        parts.iter().zip(&out).filter(|(p, _)| p.need == Need::Bounded).map(|(_, o)| *o).collect();
+    let out_of_bound = bounded.iter().copied().fold(0.0, f64::max);
+    Round { fails, busy, out_of_bound }
+}
+
+fn station_late(station: &Station, p: &Part, speed: f64) -> f64 {
+    // In units of this host's core.
+    let unit = Station { mean: station.mean * speed, rate: station.rate / speed, ..*station };
+    unit.late(&p.service, p.goal * speed)
+}
+
+fn settle(parts: &[Part], h: &Hosts, apply: f64, from: f64) -> State {
+    let mut fails = vec![from; parts.len()];
+    let mut last = round(parts, h, apply, &fails);
+    for step in 0..STEPS {
+        let part = PART / (1.0 + step as f64 / HALVED);
+        let moved = fails.iter().zip(&last.fails).map(|(a, b)| (a - b).abs()).fold(0.0, f64::max);
+        fails.iter_mut().zip(&last.fails).for_each(|(a, b)| *a += part * (b - *a));
+        last = round(parts, h, apply, &fails);
+        if moved < REST {
+            break;
+        }
+    }
+    let (mut first, mut all) = (0.0, 0.0);
+    let served = parts.iter().zip(&fails).map(|(p, f)| {
+        first += p.asked;
+        all += tries(p, *f).0;
+        let in_time = 1.0 - f.powi(p.retries as i32 + 1);
+        Served { class: p.name.to_string(), asked: p.asked, in_time, worth: p.worth }
+    });
+    let served = served.collect();
+    let amplification = if first > 0.0 { all / first } else { 1.0 };
+    State { served, busy: last.busy, amplification, out_of_bound: last.out_of_bound }
+}
+
+/// Where a group comes to rest under its share of a load.
+pub fn rest(fleet: &Fleet, group: &Group, load: &Load, share: f64, change: &Change) -> Rest {
+    let parts = parts(fleet, load, share, change);
+    let h = hosts(fleet, group, change.warmth);
+    let apply = load.apply_ms / 1e3 * change.apply;
+    let better = settle(&parts, &h, apply, 0.0);
+    let worse = settle(&parts, &h, apply, 1.0);
+    let apart = (better.worth() - worse.worth()).abs() > APART;
+    Rest { better, worse: apart.then_some(worse) }
+}
+
+/// How busy each resource is without queues, failures or further tries: what is in proportion to the load.
+pub fn busy(fleet: &Fleet, group: &Group, load: &Load, share: f64, change: &Change) -> Vec<(Resource, f64)> {
+    let parts = parts(fleet, load, share, change);
+    let h = hosts(fleet, group, change.warmth);
+    let work = |need: fn(Need) -> bool| -> f64 {
+        parts.iter().filter(|p| need(p.need)).map(|p| p.asked * p.mean).sum()
+    };
+    let written = work(|n| n == Need::Write);
+    let writes: f64 = parts.iter().filter(|p| p.need == Need::Write).map(|p| p.asked).sum();
+    let all = work(|_| true);
+    let cores = h.primary + h.replica_cores;
+    let mut out = vec![
+        (Resource::PrimaryCores, written / h.primary.max(1e-9)),
+        (Resource::GroupCores, all / cores.max(1e-9)),
+        // All in service and none waiting: a host cannot hold fewer.
+        (Resource::Connections, all / cores.max(1e-9) * f64::from(h.replica_servers) / h.connections),
+    ];
+    if h.replicas > 0 {
+        out.push((Resource::ApplyThread, writes * load.apply_ms / 1e3 * change.apply / h.speed));
+    }
+    out
+}
