Record load for the planner, and answer on the command line, in JSON, pages and a terminal

Cause: the model had no input from service and no way out. sillfold-capture keeps what happened by class, group, shape and service time in bounded memory, as lines with checksums; the proxy appends them where the operator's file says so, off its thread; sillfold-plan shows captures, checks fleets, and asks the model: saturate, size, lose, what-if, compare, view. The reading of JSON5 with key and place moved to a crate that both programs use.

--- /dev/null
+++ b/crates/planner/src/page.rs
@@ -0,0 +1,135 @@
+//! One page with plots: what is served as the load grows, and how near each resource is to its bound. It stands
+//! alone: no script, no file beside it.
+
+use plotters::prelude::*;
+use sillfold_plan::answers::{saturate, what_if};
+use sillfold_plan::fleet::{Fleet, Load};
+use sillfold_plan::model::Change;
+
+const SIZE: (u32, u32) = (820, 360);
+const POINTS: u32 = 48;
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// A line of a plot: its name and points.
+type Line = (String, Vec<(f64, f64)>);
+
+fn plot(
+    title: &str, across: &str, most: (f64, f64), lines: &[Line], mark: Option<f64>,
+) -> Result<String, String> {
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let failed = |e: &dyn std::fmt::Display| format!("a plot: {e}");
+        root.fill(&WHITE).map_err(|e| failed(&e))?;
+        let mut chart = ChartBuilder::on(&root)
+            .caption(title, ("sans-serif", 18))
+            .margin(10)
+            .x_label_area_size(36)
+            .y_label_area_size(48)
+            .build_cartesian_2d(0.0..most.0, 0.0..most.1)
+            .map_err(|e| failed(&e))?;
+        chart.configure_mesh().x_desc(across).draw().map_err(|e| failed(&e))?;
+        for (i, (name, points)) in lines.iter().enumerate() {
+            let color = Palette99::pick(i).to_rgba();
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), color.stroke_width(2)))
+                .map_err(|e| failed(&e))?
+                .label(name)
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color.stroke_width(2)));
+        }
+        if let Some(at) = mark {
+            let line = PathElement::new(vec![(at, 0.0), (at, most.1)], BLACK.mix(0.5));
+            chart.draw_series(std::iter::once(line)).map_err(|e| failed(&e))?;
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK.mix(0.3))
+            .position(SeriesLabelPosition::LowerLeft)
+            .draw()
+            .map_err(|e| failed(&e))?;
+        root.present().map_err(|e| failed(&e))?;
+    }
+    Ok(svg)
+}
+
+/// The whole page.
+pub fn page(
+    fleet: &Fleet, load: &Load, change: &Change, goal: f64, notes: &[String],
+) -> Result<String, String> {
+    let answer = saturate(fleet, load, goal, change);
+    let far = (answer.limits.first().map_or(1.0, |l| l.times.value) * 1.6).clamp(0.1, 1_000.0);
+    let mut classes: Vec<Line> = Vec::new();
+    let mut tries: Line = ("tries for each first one, a tenth".into(), Vec::new());
+    for k in 1..=POINTS {
+        let times = far * f64::from(k) / f64::from(POINTS);
+        let at = Change { load: change.load * times, ..change.clone() };
+        let found = what_if(fleet, load, &at);
+        for (name, share) in found.classes {
+            match classes.iter_mut().find(|c| c.0 == name) {
+                Some(c) => c.1.push((times, share)),
+                None => classes.push((name, vec![(times, share)])),
+            }
+        }
+        tries.1.push((times, found.amplification / 10.0));
+    }
+    classes.push(tries);
+    let goal_at = Some(answer.goal.value);
+    let served = plot(
+        "Served in time, in the group where it is least",
+        "times the load",
+        (far, 1.05),
+        &classes,
+        goal_at,
+    )?;
+    let busy: Vec<Line> = answer
+        .limits
+        .iter()
+        .map(|l| (format!("{} of {}", l.resource, l.of), vec![(0.0, 0.0), (far, far / l.times.value)]))
+        .collect();
+    let busy = plot(
+        "How busy each resource is",
+        "times the load",
+        (far, 1.6),
+        &busy,
+        Some(answer.limits.first().map_or(1.0, |l| l.times.value)),
+    )?;
+    let row = |l: &sillfold_plan::answers::Limit| {
+        let t = &l.times;
+        let of = format!("{} of {}", l.resource, l.of);
+        format!(
+            "<tr><td>{}</td><td>{:.2}</td><td>{:.2} to {:.2}</td><td>{}</td></tr>",
+            escaped(&of),
+            t.value,
+            t.low.max(0.0),
+            t.high,
+            escaped(&t.hangs_on)
+        )
+    };
+    let rows: String = answer.limits.iter().map(row).collect();
+    let notes: String = notes.iter().map(|n| format!("<p>Note: {}</p>", escaped(n))).collect();
+    let trap = match answer.trap {
+        Some(at) => {
+            format!("From {at:.2} times on there is a worse state which the fleet does not leave by itself.")
+        }
+        None => "The fleet has one state at each load: it comes back by itself.".into(),
+    };
+    Ok(format!(
+        "<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Capacity</title><style>\
+         body{{font-family:sans-serif;max-width:860px;margin:2em auto}}td,th{{padding:.2em .8em;text-align:left}}\
+         </style></head><body><h1>Capacity</h1><p>{} hosts in {} groups. The goal, {:.0} % of each class in time, is \
+         missed at {:.2} times the load ({:.2} to {:.2}), first in group {}. {trap}</p>{notes}<table><tr><th>What \
+         saturates</th><th>Times the load</th><th>Interval</th><th>Hangs most on</th></tr>{rows}</table>{served}{busy}\
+         </body></html>\n",
+        fleet.hosts(),
+        fleet.groups.len(),
+        100.0 * goal,
+        answer.goal.value,
+        answer.goal.low.max(0.0),
+        answer.goal.high,
+        answer.goal_group
+    ))
+}
--- /dev/null
+++ b/crates/planner/src/view.rs
@@ -0,0 +1,98 @@
+//! The terminal's view: how busy each resource is at a multiple of the load that keys change. It owns the terminal
+//! while it runs, and gives it back however it ends.
+
+use ratatui::Frame;
+use ratatui::backend::TestBackend;
+use ratatui::crossterm::event::{self, Event, KeyCode, KeyEventKind};
+use ratatui::layout::{Constraint, Layout};
+use ratatui::style::{Color, Style};
+use ratatui::widgets::{Block, Gauge, Paragraph};
+use sillfold_plan::answers::{saturate, what_if};
+use sillfold_plan::fleet::{Fleet, Load};
+use sillfold_plan::model::Change;
+use std::io;
+
+/// What is shown.
+struct Picture {
+    times: f64,
+    bars: Vec<(String, f64)>,
+    text: String,
+}
+
+fn picture(fleet: &Fleet, load: &Load, change: &Change, limits: &[(String, f64)], times: f64) -> Picture {
+    let at = Change { load: change.load * times, ..change.clone() };
+    let found = what_if(fleet, load, &at);
+    let bars = limits.iter().map(|(name, most)| (name.clone(), times / most)).collect();
+    let classes: Vec<String> = found.classes.iter().map(|(n, s)| format!("{n} {:.1} %", 100.0 * s)).collect();
+    let text = format!(
+        "served in time: {:.1} % by worth; least by class: {}\ntries for each first one: {:.2}; replicas too far behind for {:.1} % of bounded reads",
+        100.0 * found.worth.value,
+        classes.join(", "),
+        found.amplification,
+        100.0 * found.out_of_bound
+    );
+    Picture { times, bars, text }
+}
+
+fn draw(frame: &mut Frame, p: &Picture) {
+    let mut rows = vec![Constraint::Length(1)];
+    rows.extend(p.bars.iter().map(|_| Constraint::Length(3)));
+    rows.push(Constraint::Min(3));
+    let areas = Layout::vertical(rows).split(frame.area());
+    let title = format!("{:.2} times the load    left, right: change it    q: end", p.times);
+    frame.render_widget(Paragraph::new(title), areas[0]);
+    for (i, (name, busy)) in p.bars.iter().enumerate() {
+        let color = match busy {
+            b if *b >= 1.0 => Color::Red,
+            b if *b >= 0.8 => Color::Yellow,
+            _ => Color::Green,
+        };
+        let gauge = Gauge::default()
+            .block(Block::bordered().title(name.as_str()))
+            .gauge_style(Style::default().fg(color))
+            .ratio(busy.clamp(0.0, 1.0))
+            .label(format!("{:.0} %", 100.0 * busy));
+        frame.render_widget(gauge, areas[i + 1]);
+    }
+    frame.render_widget(Paragraph::new(p.text.as_str()), areas[p.bars.len() + 1]);
+}
+
+/// Shows the view until it is ended, or one picture of it.
+pub fn run(fleet: &Fleet, load: &Load, change: &Change, once: bool) -> io::Result<()> {
+    let limits: Vec<(String, f64)> = saturate(fleet, load, 0.95, change)
+        .limits
+        .into_iter()
+        .map(|l| (format!("{} of {}", l.resource, l.of), l.times.value))
+        .collect();
+    let mut times = 1.0;
+    if once {
+        let mut terminal = ratatui::Terminal::new(TestBackend::new(100, 18))?;
+        let p = picture(fleet, load, change, &limits, times);
+        terminal.draw(|f| draw(f, &p))?;
+        let buffer = terminal.backend().buffer();
+        for row in buffer.content().chunks(100) {
+            let line: String = row.iter().map(|c| c.symbol()).collect();
+            println!("{}", line.trim_end());
+        }
+        return Ok(());
+    }
+    let mut terminal = ratatui::try_init()?;
+    let ended = loop {
+        let p = picture(fleet, load, change, &limits, times);
+        if let Err(e) = terminal.draw(|f| draw(f, &p)) {
+            break Err(e);
+        }
+        match event::read() {
+            Ok(Event::Key(key)) if key.kind == KeyEventKind::Press => match key.code {
+                KeyCode::Char('q') | KeyCode::Esc => break Ok(()),
+                KeyCode::Left => times = (times - 0.05f64).max(0.05),
+                KeyCode::Right => times += 0.05,
+                _ => {}
+            },
+            Ok(_) => {}
+            Err(e) => break Err(e),
+        }
+    };
+    ratatui::restore();
+    ended
+}
--- a/crates/route/src/cache.rs
+++ b/crates/route/src/cache.rs
@@ -55,6 +55,12 @@
         &self.text
     }
 
+    /// A number for it, to compare by eye. Nothing is decided by it.
+    pub fn number(&self) -> u64 {
+        let fnv = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+        self.text.bytes().fold(0xcbf2_9ce4_8422_2325, fnv)
+    }
+
     /// Bytes that it takes in the cache, all counted.
     pub fn bytes(&self) -> usize {
         ENTRY_BYTES + size_of::<Shape>() + self.text.len() + self.analysis.heap()
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -111,12 +111,6 @@
             Effect::Session | Effect::Invalid => Target::Refuse,
         }
     }
-
-    /// A number for its shape, to compare by eye. Nothing is decided by it.
-    pub fn shape_number(&self) -> u64 {
-        let fnv = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-        self.shape.text().bytes().fold(0xcbf2_9ce4_8422_2325, fnv)
-    }
 }
 
 /// A statement's terms.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -299,7 +299,7 @@
         let told = Told {
             effect: read.effect.name(),
             target: target.name(),
-            shape: format!("{:016x}", read.shape_number()),
+            shape: format!("{:016x}", read.shape.number()),
             statements: read.statements,
             cost_us: read.estimate.p50_us,
             cached: read.cached,
--- a/src/main.rs
+++ b/src/main.rs
@@ -140,6 +140,8 @@
             async move { core.run_timers().await }
         })
         .detach();
+    let record = net::capture::run(core.clone(), operator.file.capture.clone(), config.name.clone());
+    executor.spawn(record).detach();
     let (moves, moved) = async_channel::unbounded();
     let discovery = config.discovery;
     let watch = {
@@ -231,6 +233,9 @@
             if file.hosts != operator.file.hosts {
                 warn!(target: "sillfold", "hosts counts at the next start");
             }
+            if file.capture != operator.file.capture {
+                warn!(target: "sillfold", "capture counts at the next start");
+            }
             let rules = file.statements.rules.len();
             match clients.statements() {
                 Some(statements) if file.statements.enabled => statements.replace(&file.statements, dialect),
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -615,6 +615,14 @@
                         if let Some(terms) = &plain {
                             self.note_plain(terms, &verdict);
                         }
+                        let core = &self.all.core;
+                        match &verdict {
+                            Verdict::Refused { .. } => {
+                                core.note(|r| r.unserved(call.class, call.group, true))
+                            }
+                            Verdict::Failed => core.note(|r| r.unserved(call.class, call.group, false)),
+                            _ => {}
+                        }
                         self.put_verdict(call.class, verdict);
                     }
                     None => return Ok(false),
@@ -821,6 +829,7 @@
     fn note_plain(&mut self, terms: &Terms, verdict: &Verdict) {
         if let (Some(statements), Some((_, took))) = (self.all.statements(), self.told) {
             statements.learn(terms, took);
+            self.all.core.note(|r| r.shape(terms.shape_number(), took.as_micros() as u64));
         }
         let now = self.all.core.clock.now();
         match verdict {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -13,6 +13,7 @@
     Action, Arrival, Effect, Entry, Event, GroupId, ListKind, Listed, Micros, Outcome, Report, RequestId,
     Returned, Router, ServerId, Settings,
 };
+use sillfold_capture::{Record, Recorder, Tried};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -159,6 +160,8 @@
     kept: Micros,
     timer_set: (Sender<()>, Receiver<()>),
     chores: Sender<Chore>,
+    /// The record of load, where it is kept.
+    recorder: RefCell<Option<Recorder>>,
     /// Closed once discovery has spoken.
     listed: (Sender<()>, Receiver<()>),
 }
@@ -192,6 +195,7 @@
             kept,
             timer_set: async_channel::bounded(1),
             chores,
+            recorder: RefCell::default(),
             listed: async_channel::bounded(1),
         };
         (core, todo)
@@ -234,6 +238,23 @@
         }
     }
 
+    /// From now on load is recorded so, or not at all.
+    pub fn record(&self, recorder: Option<Recorder>) {
+        *self.recorder.borrow_mut() = recorder;
+    }
+
+    /// What was recorded in this interval; nothing where nothing is.
+    pub fn recorded(&self, at_ms: u64, for_ms: u64) -> Option<Record> {
+        self.recorder.borrow_mut().as_mut().map(|r| r.take(at_ms, for_ms))
+    }
+
+    /// Tells the record of load, if it is kept.
+    pub fn note(&self, what: impl FnOnce(&mut Recorder)) {
+        if let Some(recorder) = self.recorder.borrow_mut().as_mut() {
+            what(recorder);
+        }
+    }
+
     /// Whether repeats of a class's requests are dropped by a key.
     pub fn is_keyed(&self, class: u8) -> bool {
         self.keyed.get(usize::from(class)).copied().unwrap_or(false)
@@ -283,6 +304,7 @@
             inner.open.insert(id, Open { orders, give_up_at: call.give_up_at, attempts: 0, coming });
             id
         };
+        self.note(|r| r.arrived(call.class, call.group, call.expected));
         let now = self.clock.now();
         // 0 stands for no token, so a commit of this very moment counts as a little older.
         let age = call.after.map_or(0.0, |at| (now.saturating_sub(at) as f32 / 1e3).max(0.001));
@@ -297,7 +319,7 @@
             expected: call.expected,
         };
         self.feed(if coming { Event::Coming(arrival) } else { Event::Request(arrival) });
-        Ticket { core: self, id, mailbox, answered: Cell::new(false) }
+        Ticket { core: self, id, mailbox, answered: Cell::new(false), of: (call.class, call.group) }
     }
 
     /// A probe returned.
@@ -476,6 +498,8 @@
     id: RequestId,
     mailbox: Receiver<Order>,
     answered: Cell<bool>,
+    /// Its class and group.
+    of: (u8, GroupId),
 }
 
 impl Ticket<'_> {
@@ -500,6 +524,12 @@
     pub fn ended(&self, e: Ending) {
         let finished = self.answered.get() || e.outcome == Outcome::Ok;
         self.answered.set(finished);
+        let how = match e.outcome {
+            Outcome::Ok => Tried::Served(e.latency.as_micros() as u64),
+            Outcome::Miss => Tried::Missed,
+            _ => Tried::Else,
+        };
+        self.core.note(|r| r.tried(self.of.0, self.of.1, how));
         self.core.feed(Event::Outcome(Returned {
             id: self.id,
             attempt: e.number,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,11 @@
-//! Everything that touches sockets, in seven parts. `core` owns the decision module, time and the
+//! Everything that touches sockets, in eight parts. `core` owns the decision module, time and the
 //! figures, `client` a request's life, `hosts` the connections to database hosts, `discovery` the
-//! list, `console` the operators' door, `statements` the desk for plain statements, `upgrade` what two processes
+//! list, `console` the operators' door, `statements` the desk for plain statements,
+//! `capture` the record of load, `upgrade` what two processes
 //! share.
 //! This file holds only what they share; it must never decide nor keep state beyond a moment.
 
+pub mod capture;
 pub mod client;
 pub mod console;
 pub mod core;
--- a/src/net/statements.rs
+++ b/src/net/statements.rs
@@ -25,6 +25,13 @@
     shape: Rc<Shape>,
 }
 
+impl Terms {
+    /// A number for the statement's shape, to tell by eye.
+    pub fn shape_number(&self) -> u64 {
+        self.shape.number()
+    }
+}
+
 /// What operators are told.
 #[derive(Serialize)]
 pub struct Figures {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -4,18 +4,14 @@
 
 use garde::Validate;
 use schemars::JsonSchema;
-use serde::de::{DeserializeSeed, Error as _, IgnoredAny, MapAccess, SeqAccess, Visitor};
-use serde::{Deserialize, Deserializer};
+use serde::Deserialize;
 use sillfold::{Need, Settings};
+use sillfold_conf::place;
 use sillfold_route::sql::{Additions, Bounds};
 use sillfold_route::{Band, Classes, Group, Options, Pattern, Rule, faults};
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 use std::path::Path;
 
-/// The longest file that is read, in bytes.
-const MOST_BYTES: u64 = 4 << 20;
-
 /// The whole file.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, JsonSchema, Validate)]
 #[serde(default, deny_unknown_fields)]
@@ -26,6 +22,36 @@
     /// Statements without a comment that names their terms.
     #[garde(dive)]
     pub statements: Statements,
+    /// The record of load for the planner.
+    #[garde(dive)]
+    pub capture: CaptureConf,
+}
+
+/// The record of load.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(default, deny_unknown_fields)]
+pub struct CaptureConf {
+    /// Where it is written; none, and nothing is recorded.
+    #[garde(inner(length(min = 1)))]
+    pub file: Option<String>,
+    /// How long each record is, in milliseconds.
+    #[garde(range(min = 100, max = 600_000))]
+    pub every_ms: u64,
+    /// Kilobytes after which the file is put aside and a new one begun.
+    #[garde(range(min = 16, max = 1_048_576))]
+    pub most_kb: u64,
+    /// Files that are kept beside the present one.
+    #[garde(range(max = 100))]
+    pub keep: u32,
+    /// One service time in so many is recorded.
+    #[garde(range(min = 1, max = 100_000))]
+    pub sample: u32,
+}
+
+impl Default for CaptureConf {
+    fn default() -> CaptureConf {
+        CaptureConf { file: None, every_ms: 1_000, most_kb: 4_096, keep: 4, sample: 1 }
+    }
 }
 
 /// As whom the proxy opens its sessions at database hosts. Every statement runs so, whoever sent it.
@@ -293,35 +319,22 @@
 impl File {
     /// Reads and checks a file; with the platform's classes, where they are known, also against them.
     pub fn load(path: &Path, classes: Option<&Classes>) -> (Option<File>, Findings) {
-        let name = path.display().to_string();
-        let text = std::fs::metadata(path).and_then(|m| match m.len() {
-            0..=MOST_BYTES => std::fs::read_to_string(path),
-            n => Err(std::io::Error::other(format!("{n} bytes; the most is {MOST_BYTES}"))),
-        });
-        match text {
-            Ok(text) => File::parse(&name, &text, classes),
-            Err(e) => (None, Findings { errors: vec![format!("{name}: {e}")], notes: Vec::new() }),
+        match sillfold_conf::text(path) {
+            Ok(text) => File::parse(&path.display().to_string(), &text, classes),
+            Err(what) => (None, Findings { errors: vec![what], notes: Vec::new() }),
         }
     }
 
     /// The same of a text; `name` leads every message.
     pub fn parse(name: &str, text: &str, classes: Option<&Classes>) -> (Option<File>, Findings) {
         let mut findings = Findings::default();
-        let file: File = match read(text) {
+        let file: File = match sillfold_conf::parse(name, text) {
             Ok(file) => file,
-            Err((key, place, what)) => {
-                let key = if key == "." { String::new() } else { format!("{key}: ") };
-                findings.errors.push(format!("{name}:{place}: {key}{what}"));
+            Err(errors) => {
+                findings.errors = errors;
                 return (None, findings);
             }
         };
-        if let Err(report) = file.validate() {
-            for (path, error) in report.iter() {
-                let key = path.to_string();
-                findings.errors.push(format!("{name}:{}: {key}: {error}", place(text, &key)));
-            }
-            return (None, findings);
-        }
         let names: Vec<&str> = file.statements.rules.iter().map(|r| r.name.as_str()).collect();
         let at = |rule: &str| names.iter().position(|n| *n == rule).unwrap_or(0);
         for (i, rule) in names.iter().enumerate().filter(|(i, n)| at(n) != *i) {
@@ -345,100 +358,3 @@
         (sound.then_some(file), findings)
     }
 }
-
-/// Reads a text whole; the error is the key, the place and what is wrong there.
-fn read(text: &str) -> Result<File, (String, String, String)> {
-    let mut track = serde_path_to_error::Track::new();
-    let mut de = json5::Deserializer::from_str(text);
-    let tracked = serde_path_to_error::Deserializer::new(&mut de, &mut track);
-    // What stands behind the value shows only in a reading of all.
-    let found = File::deserialize(tracked).and_then(|f| json5::from_str::<IgnoredAny>(text).map(|_| f));
-    found.map_err(|e| {
-        let place = e.position().map_or("1:1".into(), |p| format!("{}:{}", p.line + 1, p.column + 1));
-        let whole = e.to_string();
-        // The place leads the message already.
-        let what = whole.rsplit_once(" at line ").map_or(whole.as_str(), |w| w.0).to_string();
-        (track.path().to_string(), place, what)
-    })
-}
-
-/// Where a key's value stands in a text that parses, as line and column; of the nearest key above where it is
-/// not written.
-fn place(text: &str, key: &str) -> String {
-    let steps: Vec<&str> = key.split(['.', '[', ']']).filter(|s| !s.is_empty()).collect();
-    for length in (0..=steps.len()).rev() {
-        let mut de = json5::Deserializer::from_str(text);
-        if let Err(e) = (Seek { steps: &steps[..length] }).deserialize(&mut de)
-            && let (Some(p), true) = (e.position(), e.to_string().starts_with(HERE))
-        {
-            return format!("{}:{}", p.line + 1, p.column + 1);
-        }
-    }
-    "1:1".to_string()
-}
-
-/// How a search says that it is there.
-const HERE: &str = "the value that is looked for";
-
-/// Goes down to a value and fails there: the parser then tells the place.
-#[derive(Clone, Copy)]
-struct Seek<'s> {
-    steps: &'s [&'s str],
-}
-
-impl<'de> DeserializeSeed<'de> for Seek<'_> {
-    type Value = ();
-    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<(), D::Error> {
-        deserializer.deserialize_any(self)
-    }
-}
-
-impl<'de> Visitor<'de> for Seek<'_> {
-    type Value = ();
-
-    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.write_str("a value on the way")
-    }
-    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
-        let Some((step, rest)) = self.steps.split_first() else { return Err(A::Error::custom(HERE)) };
-        while let Some(key) = map.next_key::<String>()? {
-            if key == *step {
-                map.next_value_seed(Seek { steps: rest })?;
-            } else {
-                map.next_value::<IgnoredAny>()?;
-            }
-        }
-        Ok(())
-    }
-    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
-        let Some((step, rest)) = self.steps.split_first() else { return Err(A::Error::custom(HERE)) };
-        let mut left = step.parse::<usize>().unwrap_or(usize::MAX);
-        loop {
-            if left == 0 {
-                return seq.next_element_seed(Seek { steps: rest }).map(|_| ());
-            }
-            left -= 1;
-            if seq.next_element::<IgnoredAny>()?.is_none() {
-                return Ok(());
-            }
-        }
-    }
-    fn visit_bool<E: serde::de::Error>(self, _: bool) -> Result<(), E> {
-        Err(E::custom(HERE))
-    }
-    fn visit_i64<E: serde::de::Error>(self, _: i64) -> Result<(), E> {
-        Err(E::custom(HERE))
-    }
-    fn visit_u64<E: serde::de::Error>(self, _: u64) -> Result<(), E> {
-        Err(E::custom(HERE))
-    }
-    fn visit_f64<E: serde::de::Error>(self, _: f64) -> Result<(), E> {
-        Err(E::custom(HERE))
-    }
-    fn visit_str<E: serde::de::Error>(self, _: &str) -> Result<(), E> {
-        Err(E::custom(HERE))
-    }
-    fn visit_unit<E: serde::de::Error>(self) -> Result<(), E> {
-        Err(E::custom(HERE))
-    }
-}
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -499,3 +499,44 @@
     assert_eq!((&line["level"], &line["target"]), (&"INFO".into(), &"sillfold".into()));
     assert!(line["message"].as_str().is_some_and(|m| m.starts_with("reloaded, discovery is")), "{line}");
 }
+
+#[test]
+fn load_is_recorded_where_the_operators_file_names_a_file_and_the_planner_reads_it() {
+    let directory = std::env::temp_dir().join(format!("sillfold-capture-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory");
+    let file = directory.join("load");
+    std::fs::write(&file, "another process's").expect("written");
+    let conf = format!("capture: {{file: '{}', every_ms: 100, most_kb: 16, keep: 2}},", file.display());
+    let fleet = fleet(&OPERATOR.replacen('{', &format!("{{{conf}"), 1), 0);
+    let mut client = fleet.client();
+    let read = |path: &std::path::Path| {
+        let (capture, fault) =
+            sillfold_capture::read(&std::fs::read(path).expect("a file")).expect("a capture");
+        assert!(fault.is_none() || path == file, "{fault:?}");
+        capture
+    };
+    let since = Instant::now();
+    // Until files have been put aside for their length: the first to go is what another process left.
+    let aside = |n: u32| directory.join(format!("load.{n}"));
+    while !aside(2).exists() || std::fs::read(aside(2)).is_ok_and(|b| b.starts_with(b"another")) {
+        assert!(since.elapsed() < PATIENCE, "no file is put aside");
+        client.ask("SELECT payload FROM entries WHERE ref = 'x'").expect("an answer");
+        client.ask("INSERT INTO entries (ref) VALUES ('x')").expect("an answer");
+    }
+    let captures = [read(&aside(2)), read(&aside(1))];
+    assert!(std::fs::metadata(aside(1)).expect("a file").len() <= 16 * 1024);
+    let sum = captures[0].summary();
+    let (reads, writes) = (&sum.classes["browse"], &sum.classes["ingest"]);
+    assert!(reads.arrived > 10 && reads.arrived.abs_diff(writes.arrived) <= 1, "{sum:?}");
+    assert!(reads.samples > 10 && reads.mean_us > 16.0 && sum.groups[&3] == reads.arrived + writes.arrived);
+    assert!(sum.shapes.len() == 2 && sum.seconds > 0.5, "{sum:?}");
+    // Nothing is counted twice, and no time is left out between two files.
+    let ends: Vec<u64> = captures[0].records.iter().map(|r| r.at_ms + r.for_ms).collect();
+    let next: Vec<u64> =
+        captures[0].records[1..].iter().chain(&captures[1].records[..1]).map(|r| r.at_ms).collect();
+    assert_eq!(ends, next);
+    // A directory that is gone costs records and nothing else.
+    std::fs::remove_dir_all(&directory).expect("removed");
+    fleet.proxy.logged("records are lost until it can be written again").expect("logged");
+    assert_eq!(client.ask("SELECT 1").expect("an answer").value(), Some("ok"));
+}
