--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -21,8 +21,13 @@
     text.map_err(|e| format!("{}: {e}", path.display()))
 }
 
+/// What a file may hold: a value that can be read and checked whole.
+pub trait Whole: DeserializeOwned + Validate<Context = ()> {}
+
+impl<T: DeserializeOwned + Validate<Context = ()>> Whole for T {}
+
 /// Reads and checks a text; `name` leads every message.
-pub fn parse<T: DeserializeOwned + Validate<Context = ()>>(name: &str, text: &str) -> Result<T, Vec<String>> {
+pub fn parse<T: Whole>(name: &str, text: &str) -> Result<T, Vec<String>> {
     let value: T = read(text).map_err(|(key, place, what)| {
         let key = if key == "." { String::new() } else { format!("{key}: ") };
         vec![format!("{name}:{place}: {key}{what}")]
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -3,13 +3,16 @@
 //! write away, and what it has not applied it does not show.
 
 use crate::wire;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand_distr::{Distribution, LogNormal};
 use sillfold_route::sql::{Analysis, Bounds, Effect, Functions, Reading, judge, literal_text};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -89,12 +92,49 @@
     pub tells_commit: bool,
     /// How long a statement takes.
     pub takes: Duration,
+    /// What it can do; without one it does everything at once.
+    pub capacity: Option<Capacity>,
+}
+
+/// What a host can do: cores that work on one request each, and one thread that applies the log.
+#[derive(Clone, Debug)]
+pub struct Capacity {
+    /// Requests that it works on at a time.
+    pub cores: u32,
+    /// Requests that it holds at a time, waiting ones included; one more is turned away.
+    pub slots: u32,
+    /// Sessions that it holds; one more is turned away.
+    pub connections: u32,
+    /// What a core takes for a request, by class: mean in milliseconds, squared coefficient of variation.
+    pub work: BTreeMap<String, (f64, f64)>,
+    /// What applying one write takes at a replica.
+    pub apply: Duration,
+    /// Of the draws of service times.
+    pub seed: u64,
+}
+
+/// Cores in use, and who waits for one, first come first served.
+#[derive(Default)]
+struct Cores {
+    busy: u32,
+    inside: u32,
+    next: u64,
+    serving: u64,
+}
+
+/// How far a replica has applied its group's log.
+#[derive(Default)]
+struct Applied {
+    entries: usize,
+    /// When the thread is done with the last of them.
+    done_at: f64,
+    position: u64,
 }
 
 impl Default for Options {
     fn default() -> Options {
         let (name, primary, lag, takes) = ("s-1".into(), true, Duration::ZERO, Duration::ZERO);
-        Options { name, primary, lag, tells_commit: true, takes }
+        Options { name, primary, lag, tells_commit: true, takes, capacity: None }
     }
 }
 
@@ -107,6 +147,11 @@
     tell: Sender<Seen>,
     writes_turned_away: AtomicU64,
     functions: Functions,
+    cores: Mutex<Cores>,
+    core_free: Condvar,
+    sessions: AtomicU64,
+    draws: Mutex<StdRng>,
+    apply: Mutex<Applied>,
 }
 
 /// A host that runs until the program ends.
@@ -132,6 +177,11 @@
             lag_ms: AtomicU64::new(options.lag.as_millis() as u64),
             primary: AtomicBool::new(options.primary),
             group: group.clone(),
+            draws: Mutex::new(StdRng::seed_from_u64(options.capacity.as_ref().map_or(0, |c| c.seed))),
+            cores: Mutex::default(),
+            core_free: Condvar::new(),
+            sessions: AtomicU64::new(0),
+            apply: Mutex::default(),
             options,
             faults: Mutex::default(),
             tell,
@@ -202,12 +252,66 @@
         if self.primary.load(Ordering::Relaxed) {
             return u64::MAX;
         }
-        now_ms() - self.lag_ms.load(Ordering::Relaxed)
+        let shipped = now_ms() - self.lag_ms.load(Ordering::Relaxed);
+        match &self.options.capacity {
+            Some(c) if !c.apply.is_zero() => self.applied_by_one(shipped, c.apply.as_secs_f64() * 1e3),
+            _ => shipped,
+        }
+    }
+
+    /// The position of a replica whose one thread takes so many milliseconds for each write.
+    fn applied_by_one(&self, shipped: u64, each: f64) -> u64 {
+        let log = self.group.log.lock().expect("no writer panics");
+        let mut at = self.apply.lock().expect("no one panics there");
+        let now = now_ms() as f64;
+        while let Some(entry) = log.get(at.entries).filter(|e| e.0 <= shipped) {
+            let done = at.done_at.max(entry.0 as f64) + each;
+            if done > now {
+                // It works on this one: all before it is there.
+                return at.position.max(entry.0 - 1);
+            }
+            (at.entries, at.done_at, at.position) = (at.entries + 1, done, entry.0);
+        }
+        shipped
+    }
+
+    /// Works on a request of this class for as long as it takes; false if there is no slot for it.
+    fn work(&self, c: &Capacity, class: &str) -> bool {
+        let mut cores = self.cores.lock().expect("no one panics there");
+        if cores.inside >= c.slots {
+            return false;
+        }
+        cores.inside += 1;
+        let mine = cores.next;
+        cores.next += 1;
+        while cores.busy >= c.cores || cores.serving != mine {
+            cores = self.core_free.wait(cores).expect("no one panics there");
+        }
+        cores.serving += 1;
+        cores.busy += 1;
+        drop(cores);
+        self.core_free.notify_all();
+        let (mean, cv2) = c.work.get(class).copied().unwrap_or((1.0, 0.0));
+        let sigma2 = (1.0 + cv2).ln();
+        let spread = LogNormal::new(mean.ln() - sigma2 / 2.0, sigma2.sqrt());
+        let ms = spread.map_or(mean, |s| s.sample(&mut *self.draws.lock().expect("no one panics there")));
+        thread::sleep(Duration::from_secs_f64(ms / 1e3));
+        let mut cores = self.cores.lock().expect("no one panics there");
+        cores.busy -= 1;
+        cores.inside -= 1;
+        drop(cores);
+        self.core_free.notify_all();
+        true
     }
 
     fn converse(&self, mut s: TcpStream) -> io::Result<()> {
         s.set_nodelay(true)?;
         let (user, database) = open(&mut s)?;
+        let _session = Session(&self.sessions);
+        let sessions = self.sessions.fetch_add(1, Ordering::Relaxed) + 1;
+        if self.options.capacity.as_ref().is_some_and(|c| sessions > u64::from(c.connections)) {
+            return s.write_all(&wire::error("53300", "too many connections"));
+        }
         let _ = self.tell.send(Seen::Opened(user, database));
         let welcome = [
             wire::message(b'R', &[0; 4]),
@@ -227,6 +331,13 @@
             if !probe {
                 let _ = self.tell.send(Seen::Query(text.clone()));
             }
+            if let Some(c) = self.options.capacity.as_ref().filter(|_| !probe) {
+                let class = text.split(",c=").nth(1).and_then(|t| t.split(',').next()).unwrap_or("");
+                if !self.work(c, class) {
+                    s.write_all(&[wire::error("53300", "no slot is free"), wire::ready()].concat())?;
+                    continue;
+                }
+            }
             let fault =
                 if probe { None } else { self.faults.lock().expect("no one panics there").pop_front() };
             match fault {
@@ -268,7 +379,9 @@
         }
         let role = if self.primary.load(Ordering::Relaxed) { "writer" } else { "reader" };
         out.write_all(&wire::status("server_role", role))?;
-        if let Some(at) = commit.filter(|_| self.options.tells_commit) {
+        // Where its work is measured, every answer tells how far its host is.
+        let position = self.options.capacity.as_ref().map(|_| self.applied().min(now_ms()));
+        if let Some(at) = commit.or(position).filter(|_| self.options.tells_commit) {
             out.write_all(&wire::status("commit_clock", &at.to_string()))?;
         }
         out.write_all(&wire::ready())
@@ -337,6 +450,15 @@
     }
 }
 
+/// A session in the count; dropping it takes it out.
+struct Session<'a>(&'a AtomicU64);
+
+impl Drop for Session<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 fn table(out: &mut impl Write, columns: &[&str], rows: &[Vec<Option<&str>>], verb: &str) -> io::Result<()> {
     out.write_all(&wire::description(columns))?;
     for row in rows {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,5 +11,5 @@
 
 pub use agent::{Agent, Entry};
 pub use client::{Answer, Client};
-pub use host::{Fault, Group, Host, Options, Seen};
+pub use host::{Capacity, Fault, Group, Host, Options, Seen};
 pub use proxy::{Proxy, address, settings};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! The lab's commands: stand-ins as processes, the demonstration, and the measurements that the documents quote.
 
+mod experiment;
 mod measure;
 
 use clap::{Parser, Subcommand};
@@ -78,10 +79,34 @@
         /// Ask plain statements, which needs the operator's file, instead of commented ones.
         #[arg(long)]
         plain: bool,
+        /// Record load meanwhile, with all that it costs.
+        #[arg(long)]
+        capture: bool,
         /// How often each is measured; the median counts.
         #[arg(long, default_value_t = 3)]
         rounds: usize,
     },
+    /// Find the true saturation of fleets by experiment, and set it beside what the planner says.
+    Saturate {
+        /// Directories that hold a fleet.json5 and a load.json5 each; they are tried side by side.
+        #[arg(required = true)]
+        cases: Vec<PathBuf>,
+        /// The proxy's program.
+        #[arg(long, default_value = "target/release/sillfold")]
+        program: PathBuf,
+        /// The share of each class that is to be served in time.
+        #[arg(long, default_value_t = 0.9)]
+        goal: f64,
+        /// Seconds that count at each load, after two that do not.
+        #[arg(long, default_value_t = 5.0)]
+        seconds: f64,
+        /// Loads that are tried.
+        #[arg(long, default_value_t = 6)]
+        steps: u32,
+        /// Of arrivals and service times.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Measure the memory that proxies hold after their start and after requests, in turn.
     Memory {
         /// Programs to compare.
@@ -101,8 +126,11 @@
         Command::Host { listen, primary, lag_ms } => stand_in(listen, primary, lag_ms),
         Command::Discovery { hosts, group } => discovery(&hosts, group),
         Command::Statements { flood, bytes } => measure::statements(flood, bytes),
-        Command::Instructions { programs, requests, plain, rounds } => {
-            measure::instructions(&programs, requests, plain, rounds)
+        Command::Instructions { programs, requests, plain, capture, rounds } => {
+            measure::instructions(&programs, requests, plain, capture, rounds)
+        }
+        Command::Saturate { cases, program, goal, seconds, steps, seed } => {
+            experiment::saturate(&cases, &program, &experiment::Plan { goal, seconds, steps, seed })
         }
         Command::Memory { programs, requests } => measure::memory(&programs, requests),
     };
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -193,30 +193,40 @@
 }
 
 /// Instructions that a program takes for so many requests, its start and end included.
-fn collected(program: &str, requests: usize, plain: bool) -> io::Result<u64> {
+fn collected(program: &str, requests: usize, plain: bool, capture: bool) -> io::Result<u64> {
     let (_host, agent) = peers()?;
     let words = ["valgrind", "--tool=callgrind", "--callgrind-out-file=/dev/null", program];
     let mut quiet = settings();
     // Probes come by time, and would count with a slow machine.
     quiet["ceilings"]["mayProbe"] = false.into();
-    let operator = plain.then_some(OPERATOR);
+    let file = std::env::temp_dir().join(format!("sillfold-lab-capture-{}", std::process::id()));
+    let recorded = format!("{{capture: {{file: '{}'}}}}", file.display());
+    let operator = match (plain, capture) {
+        (true, _) => Some(OPERATOR),
+        (_, true) => Some(recorded.as_str()),
+        _ => None,
+    };
     let mut proxy = Proxy::start_anywhere(&words, agent.address, &quiet, operator)?;
     ask_many(&proxy, requests, plain)?;
     proxy.signal("TERM")?;
     let line = proxy.logged("Collected")?;
     proxy.wait()?;
+    let _ = std::fs::remove_file(file);
     let digits = line.rsplit(':').next().unwrap_or("").trim().replace(',', "");
     digits.parse().map_err(|e| io::Error::other(format!("{line}: {e}")))
 }
 
 /// Instructions a request, of each program in turn.
-pub fn instructions(programs: &[PathBuf], requests: usize, plain: bool, rounds: usize) -> io::Result<()> {
+pub fn instructions(
+    programs: &[PathBuf], requests: usize, plain: bool, capture: bool, rounds: usize,
+) -> io::Result<()> {
     let few = requests / 5;
     let mut all: Vec<Vec<f64>> = vec![Vec::new(); programs.len()];
     for _ in 0..rounds.max(1) {
         for (program, figures) in programs.iter().zip(&mut all) {
             let name = program.display().to_string();
-            let (short, long) = (collected(&name, few, plain)?, collected(&name, requests, plain)?);
+            let (short, long) =
+                (collected(&name, few, plain, capture)?, collected(&name, requests, plain, capture)?);
             figures.push(long.saturating_sub(short) as f64 / (requests - few) as f64);
         }
     }
--- a/crates/plan/src/model.rs
+++ b/crates/plan/src/model.rs
@@ -144,6 +144,10 @@
     /// Speed of a replica's core, for its apply thread.
     speed: f64,
     connections: f64,
+    /// Cores of the primary and of all, however few connections they can be reached by.
+    whole: (f64, f64),
+    /// What the connections of the primary and of all could keep busy.
+    reach: (f64, f64),
 }
 
 /// Shares of the groups in the load, by their place.
@@ -164,17 +168,26 @@
         replica_servers: 1,
         speed: 1.0,
         connections: f64::INFINITY,
+        whole: (0.0, 0.0),
+        reach: (0.0, 0.0),
     };
     for m in &group.members {
         let Some(k) = kind(&m.kind) else { continue };
-        let cores = f64::from(k.cores) * k.speed * warmth;
+        // A host that holds fewer connections than it has cores keeps only so many busy.
+        let servers = k.cores.min(k.connections);
+        let cores = f64::from(servers) * k.speed * warmth;
         h.connections = h.connections.min(f64::from(k.connections));
+        let all = |each: u32| f64::from(each) * k.speed * warmth * f64::from(m.count);
+        (h.whole.1, h.reach.1) = (h.whole.1 + all(k.cores), h.reach.1 + all(k.connections));
         if m.primary {
-            (h.primary, h.primary_servers) = (cores, k.cores);
+            (h.whole.0, h.reach.0) = (all(k.cores), all(k.connections));
+        }
+        if m.primary {
+            (h.primary, h.primary_servers) = (cores, servers);
         } else {
             h.replicas += m.count;
             h.replica_cores += cores * f64::from(m.count);
-            h.replica_servers = k.cores;
+            h.replica_servers = servers;
             h.speed = k.speed;
         }
     }
@@ -350,12 +363,12 @@
     let written = work(|n| n == Need::Write);
     let writes: f64 = parts.iter().filter(|p| p.need == Need::Write).map(|p| p.asked).sum();
     let all = work(|_| true);
-    let cores = h.primary + h.replica_cores;
+    let part = |work: f64, of: f64| work / of.max(1e-9);
     let mut out = vec![
-        (Resource::PrimaryCores, written / h.primary.max(1e-9)),
-        (Resource::GroupCores, all / cores.max(1e-9)),
+        (Resource::PrimaryCores, part(written, h.whole.0)),
+        (Resource::GroupCores, part(all, h.whole.1)),
         // All in service and none waiting: a host cannot hold fewer.
-        (Resource::Connections, all / cores.max(1e-9) * f64::from(h.replica_servers) / h.connections),
+        (Resource::Connections, part(written, h.reach.0).max(part(all, h.reach.1))),
     ];
     if h.replicas > 0 {
         out.push((Resource::ApplyThread, writes * load.apply_ms / 1e3 * change.apply / h.speed));
