Learn headroom online, show it at the console, and try shedding by worth at the door

Cause: the planner's figures help only who asks; the proxy sees the same every moment. The pure crate sillfold-headroom learns service without wait, capacity by host, demand by group and how fast replicas fall behind; the console shows what is left and what saturates next, where the operator's file says so. Where it may shed, the classes worth most for their work come in first.

--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -159,9 +159,11 @@
 }
 
 /// The share of each class that is served in time at a multiple of the load.
-fn run(fleet: &Fleet, load: &Load, times: f64, program: &str, plan: &Plan) -> io::Result<Seen> {
+fn run(
+    fleet: &Fleet, load: &Load, times: f64, program: &str, plan: &Plan, operator: Option<&str>,
+) -> io::Result<Seen> {
     let (_hosts, agent) = start(fleet, load, plan.seed)?;
-    let proxy = Proxy::start_anywhere(&[program], agent.address, &settings_of(fleet), None)?;
+    let proxy = Proxy::start_anywhere(&[program], agent.address, &settings_of(fleet), operator)?;
     let (send, receive) = channel::<(Due, u32)>();
     let receive = Arc::new(Mutex::new(receive));
     let seen: Arc<Mutex<Seen>> = Arc::default();
@@ -214,7 +216,7 @@
     let mut lines = String::new();
     for _ in 0..plan.steps {
         let times = (low * high).sqrt();
-        let seen = run(&fleet, &load, times, program, plan)?;
+        let seen = run(&fleet, &load, times, program, plan, None)?;
         let share = worst(&seen);
         let classes: Vec<String> = seen
             .iter()
@@ -251,3 +253,45 @@
     }
     Ok(())
 }
+
+/// The share of the worth asked for that was served in time, and of each class.
+fn goodput(fleet: &Fleet, seen: &Seen) -> (f64, String) {
+    let worth = |n: &str| fleet.classes[n].worth;
+    let (mut got, mut asked, mut text) = (0.0, 0.0, String::new());
+    for (name, s) in seen {
+        got += worth(name) * s.0 as f64;
+        asked += worth(name) * s.1 as f64;
+        text += &format!(" {name} {:.0} %", 100.0 * s.0 as f64 / s.1.max(1) as f64);
+    }
+    (got / f64::max(asked, 1e-9), text)
+}
+
+/// Goodput with the door's shedding and without, in turn.
+pub fn shed(path: &Path, times: &[f64], program: &Path, seconds: f64, seeds: &[u64]) -> io::Result<()> {
+    let (fleet, load): (Fleet, Load) = (read(&path.join("fleet.json5"))?, read(&path.join("load.json5"))?);
+    let program = program.display().to_string();
+    let ways = [("without", None), ("with", Some("{headroom: {enabled: true, shed: true}}"))];
+    for &times in times {
+        let mut all = [Vec::new(), Vec::new()];
+        for &seed in seeds {
+            let plan = Plan { goal: 0.9, seconds, steps: 1, seed };
+            for (i, (name, operator)) in ways.iter().enumerate() {
+                let seen = run(&fleet, &load, times, &program, &plan, *operator)?;
+                let (share, text) = goodput(&fleet, &seen);
+                println!("    {times:.2} times, seed {seed}, {name}: {:.1} %,{text}", 100.0 * share);
+                all[i].push(share);
+            }
+        }
+        let median = |v: &mut Vec<f64>| {
+            v.sort_by(f64::total_cmp);
+            100.0 * v[v.len() / 2]
+        };
+        let [without, with] = &mut all;
+        println!(
+            "{times:.2} times: {:.1} % of the worth without, {:.1} % with",
+            median(without),
+            median(with)
+        );
+    }
+    Ok(())
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -68,6 +68,23 @@
         #[arg(long, default_value_t = 2 << 20)]
         bytes: usize,
     },
+    /// Goodput by worth of an overloaded fleet, with the door's shedding and without, in turn and on the same seeds.
+    Shed {
+        /// A directory that holds a fleet.json5 and a load.json5.
+        case: PathBuf,
+        /// Multiples of the load.
+        #[arg(long, value_delimiter = ',', default_value = "1.4,1.8,2.4")]
+        times: Vec<f64>,
+        /// The proxy's program.
+        #[arg(long, default_value = "target/release/sillfold")]
+        program: PathBuf,
+        /// Seconds that count at each load.
+        #[arg(long, default_value_t = 6.0)]
+        seconds: f64,
+        /// Seeds, one run each.
+        #[arg(long, value_delimiter = ',', default_value = "1,2,3")]
+        seeds: Vec<u64>,
+    },
     /// Measure what recording load costs a request, and an interval.
     Recorder {
         /// Requests that are recorded.
@@ -132,6 +149,9 @@
         Command::Host { listen, primary, lag_ms } => stand_in(listen, primary, lag_ms),
         Command::Discovery { hosts, group } => discovery(&hosts, group),
         Command::Statements { flood, bytes } => measure::statements(flood, bytes),
+        Command::Shed { case, times, program, seconds, seeds } => {
+            experiment::shed(&case, &times, &program, seconds, &seeds)
+        }
         Command::Recorder { requests } => measure::recorder(requests),
         Command::Instructions { programs, requests, plain, capture, rounds } => {
             measure::instructions(&programs, requests, plain, capture, rounds)
--- a/src/main.rs
+++ b/src/main.rs
@@ -140,6 +140,9 @@
             async move { core.run_timers().await }
         })
         .detach();
+    if operator.file.headroom.enabled {
+        core.learn_headroom(operator.file.headroom.shed);
+    }
     let record = net::capture::run(core.clone(), operator.file.capture.clone(), config.name.clone());
     executor.spawn(record).detach();
     let (moves, moved) = async_channel::unbounded();
@@ -233,8 +236,13 @@
             if file.hosts != operator.file.hosts {
                 warn!(target: "sillfold", "hosts counts at the next start");
             }
-            if file.capture != operator.file.capture {
-                warn!(target: "sillfold", "capture counts at the next start");
+            let (old, new) = (&operator.file, &file);
+            for (key, differs) in
+                [("capture", old.capture != new.capture), ("headroom", old.headroom != new.headroom)]
+            {
+                if differs {
+                    warn!(target: "sillfold", "{key} counts at the next start");
+                }
             }
             let rules = file.statements.rules.len();
             match clients.statements() {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -610,7 +610,13 @@
                 // The answers to commands before this one do not wait for its own.
                 self.flush().await?;
                 self.told = None;
-                match self.serve(&call, &statement, plain.as_ref(), left).await {
+                let verdict = if self.all.core.lets_in(call.class, call.group) {
+                    self.serve(&call, &statement, plain.as_ref(), left).await
+                } else {
+                    // At the door, before it could wait for anything.
+                    Some(Verdict::Refused { retry_in: self.all.core.retry_in })
+                };
+                match verdict {
                     Some(verdict) => {
                         if let Some(terms) = &plain {
                             self.note_plain(terms, &verdict);
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -7,13 +7,15 @@
 use async_channel::{Receiver, Sender, TryRecvError, unbounded};
 use async_io::Timer;
 use futures_lite::future;
+use oorandom::Rand64;
 use serde::Serialize;
 use sillfold::settings::Dialect;
 use sillfold::{
-    Action, Arrival, Effect, Entry, Event, GroupId, ListKind, Listed, Micros, Outcome, Report, RequestId,
-    Returned, Router, ServerId, Settings,
+    Action, Arrival, Effect, Entry, Event, GroupId, ListKind, Listed, Micros, Need, Outcome, Report,
+    RequestId, Returned, Router, ServerId, Settings,
 };
 use sillfold_capture::{Record, Recorder, Tried};
+use sillfold_headroom::{Class as HeadroomClass, Ended, Headroom, Left};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -124,6 +126,9 @@
     inflight: usize,
     hosts_listed: usize,
     hosts_down: usize,
+    /// By group, where it is learnt.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    headroom: Option<BTreeMap<GroupId, Left>>,
 }
 
 struct Open {
@@ -160,6 +165,12 @@
     kept: Micros,
     timer_set: (Sender<()>, Receiver<()>),
     chores: Sender<Chore>,
+    /// What is left of the hosts' capacity, where it is learnt, whether it binds, and the lots for that.
+    headroom: RefCell<Option<Headroom>>,
+    sheds: Cell<bool>,
+    lots: RefCell<Rand64>,
+    /// What each class is worth, and whether it writes.
+    worths: Vec<HeadroomClass>,
     /// The record of load, where it is kept.
     recorder: RefCell<Option<Recorder>>,
     /// Closed once discovery has spoken.
@@ -174,6 +185,8 @@
         let retry_in = if limits.retry_after { limits.max_retry_after / 4 } else { 0 };
         let kept = settings.safety.cold.saturating_mul(KEPT_COLD);
         let keyed = settings.classes.iter().map(|c| matches!(c.effect, Effect::Keyed(..))).collect();
+        let worth = |c: &sillfold::Class| HeadroomClass { worth: c.worth, writes: c.need == Need::Write };
+        let worths = settings.classes.iter().map(worth).collect();
         let inner = Inner {
             router: Router::new(settings, seed),
             actions: Vec::new(),
@@ -196,6 +209,10 @@
             timer_set: async_channel::bounded(1),
             chores,
             recorder: RefCell::default(),
+            headroom: RefCell::default(),
+            sheds: Cell::default(),
+            lots: RefCell::new(Rand64::new(u128::from(seed) ^ 0x6865_6164)),
+            worths,
             listed: async_channel::bounded(1),
         };
         (core, todo)
@@ -235,9 +252,24 @@
             inflight: inner.open.values().filter(|o| !o.coming).count(),
             hosts_listed,
             hosts_down,
+            headroom: self.headroom.borrow().as_ref().map(Headroom::left),
         }
     }
 
+    /// From now on headroom is learnt; where it binds, it also turns away.
+    pub fn learn_headroom(&self, sheds: bool) {
+        *self.headroom.borrow_mut() = Some(Headroom::new(self.worths.clone()));
+        self.sheds.set(sheds);
+    }
+
+    /// Whether a request may come in; always, where headroom does not bind.
+    pub fn lets_in(&self, class: u8, group: GroupId) -> bool {
+        let mut headroom = self.headroom.borrow_mut();
+        let Some(headroom) = headroom.as_mut() else { return true };
+        let lot = self.lots.borrow_mut().rand_float();
+        headroom.arrived(class, group, lot, self.clock.now()) || !self.sheds.get()
+    }
+
     /// From now on load is recorded so, or not at all.
     pub fn record(&self, recorder: Option<Recorder>) {
         *self.recorder.borrow_mut() = recorder;
@@ -530,6 +562,18 @@
             _ => Tried::Else,
         };
         self.core.note(|r| r.tried(self.of.0, self.of.1, how));
+        if let Some(headroom) = self.core.headroom.borrow_mut().as_mut() {
+            let ended = match e.outcome {
+                Outcome::Ok => Ended::Served(e.latency.as_micros() as u64),
+                Outcome::Full | Outcome::Timeout => Ended::Full,
+                _ => Ended::Else,
+            };
+            let now = self.core.clock.now();
+            headroom.tried(self.of.0, self.of.1, e.server, ended, now);
+            if let (Some(sillfold::Role::Replica), Some(at)) = (e.note.role, e.note.position) {
+                headroom.behind(self.of.1, now.saturating_sub(at), now);
+            }
+        }
         self.core.feed(Event::Outcome(Returned {
             id: self.id,
             attempt: e.number,
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -25,6 +25,19 @@
     /// The record of load for the planner.
     #[garde(dive)]
     pub capture: CaptureConf,
+    /// What is left of the hosts' capacity.
+    #[garde(skip)]
+    pub headroom: HeadroomConf,
+}
+
+/// What is left of the hosts' capacity.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct HeadroomConf {
+    /// Whether it is learnt, and shown among the console's figures.
+    pub enabled: bool,
+    /// Whether requests are turned away by it at the door, those worth least for their work first.
+    pub shed: bool,
 }
 
 /// The record of load.
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -540,3 +540,33 @@
     fleet.proxy.logged("records are lost until it can be written again").expect("logged");
     assert_eq!(client.ask("SELECT 1").expect("an answer").value(), Some("ok"));
 }
+
+#[test]
+fn headroom_is_shown_at_the_console_where_it_is_switched_on_and_turns_nothing_away_that_fits() {
+    let fleet = fleet(&OPERATOR.replacen('{', "{headroom: {enabled: true, shed: true},", 1), 0);
+    let mut client = fleet.client();
+    let figures = || {
+        use std::io::{Read, Write};
+        let mut s = std::net::TcpStream::connect(fleet.proxy.console).expect("the console");
+        s.write_all(b"GET /ops/stats HTTP/1.1\r\n\r\n").expect("written");
+        let mut text = String::new();
+        s.read_to_string(&mut text).expect("an answer");
+        let body = text.split("\r\n\r\n").nth(1).expect("a body").to_string();
+        serde_json::from_str::<serde_json::Value>(&body).expect("JSON")
+    };
+    let since = Instant::now();
+    loop {
+        for text in ["SELECT 1", "INSERT INTO entries (ref) VALUES ('x')"] {
+            assert_eq!(client.ask(text).expect("an answer").code(), "");
+        }
+        let left = figures()["headroom"]["3"].clone();
+        if left["headroom"].as_f64().is_some_and(|h| h > 0.0) {
+            assert_eq!(
+                (&left["admitted"], &left["seen"]),
+                (&serde_json::json!([1.0, 1.0, 1.0]), &false.into())
+            );
+            break;
+        }
+        assert!(since.elapsed() < PATIENCE, "{left}");
+    }
+}
