Refuse what follows a refused BEGIN, up to its COMMIT or ROLLBACK

Cause: only BEGIN was refused; the statements behind it were served one by one, each committed by itself, and a ROLLBACK took nothing back. A session whose BEGIN was refused stands in a failed transaction now, as PostgreSQL has it: 25P02 and status E up to the end, which is answered ROLLBACK. The state is a pure module of the route crate. A text is read for it only inside such a transaction.

--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -21,6 +21,8 @@
     pub error: Vec<(char, String)>,
     /// An empty query was answered.
     pub empty: bool,
+    /// The session stands in a transaction that has failed.
+    pub failed: bool,
 }
 
 impl Answer {
@@ -88,7 +90,10 @@
             let (kind, body) = wire::read_message(&mut self.stream)?;
             let texts = || body.split(|&b| b == 0).map(|t| String::from_utf8_lossy(t).into_owned());
             match kind {
-                b'Z' => return Ok(answer),
+                b'Z' => {
+                    answer.failed = body == b"E";
+                    return Ok(answer);
+                }
                 b'T' => {
                     answer.columns.push(names(&body));
                     answer.results.push(Vec::new());
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,18 +11,20 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod block;
 mod cache;
 mod cost;
 mod rules;
 mod writes;
 
+pub use block::{Block, Met};
 pub use cache::{Asked, Shape, Shapes};
 pub use cost::{Costs, Estimate, Sketch};
 pub use rules::{Band, Classes, Facts, Fault, Group, NoRoute, Pattern, Rule, faults, rendezvous};
 pub use sillfold_sql as sql;
 pub use writes::OwnWrites;
 
-use sillfold_sql::{Additions, Bounds, Effect, Functions, Reading, Uncarried, Unreadable, judge};
+use sillfold_sql::{Additions, Bounds, Control, Effect, Functions, Reading, Uncarried, Unreadable, judge};
 use std::borrow::Cow;
 use std::rc::Rc;
 
@@ -102,6 +104,14 @@
 }
 
 impl Read {
+    /// What it says of transactions.
+    pub fn control(&self) -> Option<Control> {
+        match self.shape.analysis.uncarried {
+            Some(Uncarried::Transaction(control)) => Some(control),
+            _ => None,
+        }
+    }
+
     /// Where it goes by its effect alone.
     pub fn target(&self) -> Target {
         match self.effect {
@@ -204,6 +214,11 @@
         Ok(Read { shape, cached, statements, effect, why, estimate, unsure })
     }
 
+    /// What a text says of transactions, if it can be read.
+    pub fn control(&mut self, text: &str) -> Option<Control> {
+        self.read(text).ok()?.control()
+    }
+
     /// The terms of the statement that was read last; `text` is its text.
     pub fn route(&self, read: &Read, text: &str, user: &str, database: &str) -> Result<Route, Refusal> {
         let analysis = &read.shape.analysis;
@@ -211,7 +226,7 @@
             analysis.uncarried.or((read.effect == Effect::Session).then_some(Uncarried::Session))
         {
             let what = match what {
-                Uncarried::Transaction => "no transaction is kept here",
+                Uncarried::Transaction(_) => "no transaction is kept here",
                 Uncarried::Session => "no state of a session is kept here",
                 Uncarried::Copy => "no data stream is carried here",
             };
--- a/crates/route/tests/route.rs
+++ b/crates/route/tests/route.rs
@@ -375,6 +375,54 @@
     assert!(desk.shapes().len() <= before + 1);
 }
 
+#[test]
+fn nothing_passes_between_a_refused_begin_and_its_end() {
+    let mut desk = desk(vec![rule("reads"), writing("writes")]);
+    let mut met = |block: &mut Block, text: &str| block.meets(desk.control(text));
+    for begin in
+        ["BEGIN", "start transaction read only", "/* x */ BEGIN WORK;", "SELECT 1; BEGIN; UPDATE t SET a = 1"]
+    {
+        for end in [
+            "COMMIT",
+            "END",
+            "ROLLBACK;",
+            "abort",
+            "COMMIT AND NO CHAIN",
+            "PREPARE TRANSACTION 'x'",
+            "SELECT 1; COMMIT",
+        ] {
+            let mut block = Block::Idle;
+            assert_eq!(met(&mut block, begin), Met::Passes, "refused for its own reason");
+            for inside in [
+                "UPDATE t SET a = 1",
+                "SELECT 1",
+                "SAVEPOINT s",
+                "ROLLBACK TO SAVEPOINT s",
+                "ROLLBACK TO s",
+                "BEGIN",
+                "SELECT 'unended",
+                "COMMIT PREPARED 'x'",
+                "SET x = 1",
+                "COMMIT; BEGIN",
+                "",
+            ] {
+                assert_eq!(
+                    (met(&mut block, inside), block),
+                    (Met::Inside, Block::Refused),
+                    "{begin} {inside}"
+                );
+            }
+            assert_eq!((met(&mut block, end), block), (Met::Ended, Block::Idle), "{begin} {end}");
+        }
+    }
+    // What opens and closes in one text is refused whole, and leaves nothing open; nor does what stands alone.
+    for whole in ["BEGIN; UPDATE t SET a = 1; COMMIT", "COMMIT", "SAVEPOINT s", "ROLLBACK", "SELECT 'BEGIN'"]
+    {
+        let mut block = Block::Idle;
+        assert_eq!((met(&mut block, whole), block), (Met::Passes, Block::Idle), "{whole}");
+    }
+}
+
 #[test]
 fn own_writes_only_move_on() {
     let mut own = OwnWrites::default();
--- a/crates/sql/src/lib.rs
+++ b/crates/sql/src/lib.rs
@@ -23,4 +23,4 @@
 pub use functions::{Additions, Functions, Known};
 pub use lex::{Reading, Slot, Unreadable, literal_text};
 pub use tree::Features;
-pub use verdict::{Analysis, Bounds, Effect, Key, Uncarried, judge};
+pub use verdict::{Analysis, Bounds, Control, Effect, Key, Uncarried, judge};
--- a/crates/sql/src/verdict.rs
+++ b/crates/sql/src/verdict.rs
@@ -32,11 +32,22 @@
     }
 }
 
+/// What a text says of transactions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Control {
+    /// It begins one.
+    Begins,
+    /// It ends one.
+    Ends,
+    /// It means one that is open, or prepared elsewhere.
+    Within,
+}
+
 /// What this side cannot carry, whatever the rules say.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Uncarried {
-    /// BEGIN and what belongs to it.
-    Transaction,
+    /// BEGIN and what belongs to it; of several, the last that begins or ends one.
+    Transaction(Control),
     /// State of a session.
     Session,
     /// The data stream of COPY.
@@ -306,7 +317,19 @@
         let (first, second) = (words.first().copied().unwrap_or(""), words.get(1).copied().unwrap_or(""));
         match first {
             _ if TRANSACTION.contains(&first) || (first, second) == ("prepare", "transaction") => {
-                self.uncarried = self.uncarried.or(Some(Uncarried::Transaction));
+                let to = statement[begin..].iter().any(|t| (t.0, t.1) == (Token::Word, "to"));
+                let control = match first {
+                    _ if second == "prepared" => Control::Within,
+                    "begin" | "start" => Control::Begins,
+                    "rollback" if to => Control::Within,
+                    "commit" | "end" | "abort" | "rollback" | "prepare" => Control::Ends,
+                    _ => Control::Within,
+                };
+                // Transactions outrank what else can't be carried, and the last one counts.
+                let known = matches!(self.uncarried, Some(Uncarried::Transaction(_)));
+                if !known || control != Control::Within {
+                    self.uncarried = Some(Uncarried::Transaction(control));
+                }
                 self.verdict(Effect::Session, format!("{} belongs to a transaction", first.to_uppercase()));
                 false
             }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -9,7 +9,7 @@
 
 use super::core::{Call, Clock, Core, Ending, Order, Ticket, fnv1a};
 use super::hosts::{Attempted, Hosts, LongAnswer, Opened, PlainAnswer};
-use super::statements::{Statements, Terms};
+use super::statements::{Statements, Terms, Turned};
 use super::upgrade::Held;
 use super::{Budget, SOCKET_BYTES, by, complain, read, read_with};
 use crate::pg::{self, ErrorFields, Frontend, Inbox, Row, Startup, Statement, code};
@@ -18,7 +18,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, future};
 use sillfold::{Micros, Outcome};
-use sillfold_route::OwnWrites;
+use sillfold_route::{Block, Met, OwnWrites};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -507,6 +507,8 @@
     who: Option<Box<(String, String)>>,
     /// What this session's plain statements have written.
     own: OwnWrites,
+    /// Whether it stands in a transaction that was refused.
+    block: Block,
     /// What the last answer told of its commit, and how long it took.
     told: Option<(Option<Micros>, Duration)>,
 }
@@ -527,6 +529,7 @@
             go: async_channel::bounded(1),
             who: None,
             own: OwnWrites::default(),
+            block: Block::default(),
             told: None,
         }
     }
@@ -552,7 +555,7 @@
                 Frontend::Terminate => return Ok(false),
                 Frontend::Sync => {
                     skipping = false;
-                    pg::put_ready(&mut self.out);
+                    self.ready();
                 }
                 Frontend::Flush => {}
                 Frontend::Extended if skipping => {}
@@ -563,7 +566,7 @@
                 }
                 Frontend::Unreadable(e) => {
                     self.error(code::UNTRANSLATABLE, &e.0);
-                    pg::put_ready(&mut self.out);
+                    self.ready();
                 }
                 Frontend::Query(text) if text.trim().trim_end_matches(';').is_empty() => {
                     self.flush().await?;
@@ -572,7 +575,7 @@
                         None => pg::put_empty_query(&mut self.out),
                         Some(why) => self.error(code::CANNOT_CONNECT_NOW, why),
                     }
-                    pg::put_ready(&mut self.out);
+                    self.ready();
                 }
                 Frontend::Query(text) => {
                     if !self.request(text, &mut 0).await? {
@@ -604,6 +607,20 @@
     /// and the connection has to end.
     async fn request(&mut self, text: String, left: &mut usize) -> io::Result<bool> {
         let came = self.all.core.clock.now();
+        match self.inside(&text) {
+            Met::Passes => {}
+            Met::Ended => {
+                pg::put_complete(&mut self.out, "ROLLBACK");
+                self.ready();
+                return Ok(true);
+            }
+            Met::Inside => {
+                let what = "the transaction was refused, and so is all in it, up to COMMIT or ROLLBACK";
+                self.error(code::FAILED_TRANSACTION, what);
+                self.ready();
+                return Ok(true);
+            }
+        }
         match self.read_request(text, came, *left) {
             Ok(Some(Asked { call, statement, plain, .. })) => {
                 self.asked = true;
@@ -635,12 +652,27 @@
                 }
             }
             Ok(None) => pg::put_empty_query(&mut self.out),
-            Err(e) => pg::put_error(&mut self.out, &e),
+            Err(Turned { fields, control }) => {
+                self.block.meets(control);
+                pg::put_error(&mut self.out, &fields);
+            }
         }
-        pg::put_ready(&mut self.out);
+        self.ready();
         Ok(true)
     }
 
+    /// What becomes of a text by the transaction that its session asked for before.
+    fn inside(&mut self, text: &str) -> Met {
+        match self.all.statements().filter(|_| self.block == Block::Refused) {
+            Some(statements) => self.block.meets(statements.control(text)),
+            None => Met::Passes,
+        }
+    }
+
+    fn ready(&mut self) {
+        pg::put_ready(&mut self.out, self.block == Block::Refused);
+    }
+
     /// The life of one request, of which so many bytes are still to come. Nothing if its client left before
     /// it was answered, or can no longer be answered in order.
     async fn serve(
@@ -871,11 +903,10 @@
 
     /// Reads a request, of which so many bytes are still to come; the error is what the client is told instead.
     /// Nothing if there is no statement in it.
-    fn read_request(
-        &self, text: String, came: Micros, left: usize,
-    ) -> Result<Option<Asked<'a>>, ErrorFields> {
-        let error =
+    fn read_request(&self, text: String, came: Micros, left: usize) -> Result<Option<Asked<'a>>, Turned> {
+        let fields =
             |code: &str, message: String| ErrorFields { code: code.into(), message, ..Default::default() };
+        let error = |code: &str, message: String| Turned::from(fields(code, message));
         let core = &self.all.core;
         let statements = self.all.statements().filter(|_| !Statement::is_commented(&text));
         let (class, statement, plain) = match statements {
@@ -900,8 +931,8 @@
         };
         if !core.knows_servers() {
             core.count(class, |c| &mut c.busy);
-            let refused = error(code::CANNOT_CONNECT_NOW, "no database host is known yet".into());
-            return Err(ErrorFields { retry_in_ms: advice(core.retry_in), ..refused });
+            let refused = fields(code::CANNOT_CONNECT_NOW, "no database host is known yet".into());
+            return Err(ErrorFields { retry_in_ms: advice(core.retry_in), ..refused }.into());
         }
         if !core.knows_group(statement.group) {
             let what = format!("no group {} in the list of database hosts", statement.group);
--- a/src/net/statements.rs
+++ b/src/net/statements.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use sillfold::Micros;
 use sillfold::settings::Dialect;
-use sillfold_route::sql::Unreadable;
+use sillfold_route::sql::{Control, Unreadable};
 use sillfold_route::{Desk, Refusal, Shape};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -32,6 +32,19 @@
     }
 }
 
+/// A statement that is turned away: what its client is told, and what it says of transactions.
+#[derive(Default)]
+pub struct Turned {
+    pub fields: ErrorFields,
+    pub control: Option<Control>,
+}
+
+impl From<ErrorFields> for Turned {
+    fn from(fields: ErrorFields) -> Turned {
+        Turned { fields, control: None }
+    }
+}
+
 /// What operators are told.
 #[derive(Serialize)]
 pub struct Figures {
@@ -68,10 +81,10 @@
     }
 
     /// The terms of a statement; nothing if there is none in the text.
-    pub fn terms(&self, text: &str, user: &str, database: &str) -> Result<Option<Terms>, ErrorFields> {
+    pub fn terms(&self, text: &str, user: &str, database: &str) -> Result<Option<Terms>, Turned> {
         let refuse = |code: &str, message: String| {
             self.refused.set(self.refused.get() + 1);
-            Err(ErrorFields { code: code.into(), message, ..Default::default() })
+            Err(Turned::from(ErrorFields { code: code.into(), message, ..Default::default() }))
         };
         let mut desk = self.desk.borrow_mut();
         let read = match desk.read(text) {
@@ -85,7 +98,8 @@
         let route = match desk.route(&read, text, user, database) {
             Ok(route) => route,
             Err(Refusal::NotCarried(what) | Refusal::NoRoute(what)) => {
-                return refuse(code::FEATURE_NOT_SUPPORTED, what);
+                let turned = refuse(code::FEATURE_NOT_SUPPORTED, what);
+                return turned.map_err(|t| Turned { control: read.control(), ..t });
             }
         };
         // Every rule has a class here: the file was checked against them.
@@ -102,6 +116,11 @@
         }))
     }
 
+    /// What a text says of transactions.
+    pub fn control(&self, text: &str) -> Option<Control> {
+        self.desk.borrow_mut().control(text)
+    }
+
     /// A statement was served in this time.
     pub fn learn(&self, terms: &Terms, took: Duration) {
         self.desk.borrow_mut().learn(&terms.shape, took.as_micros() as u64);
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -25,6 +25,7 @@
     pub const PROTOCOL_VIOLATION: &str = "08P01";
     pub const FEATURE_NOT_SUPPORTED: &str = "0A000";
     pub const READ_ONLY: &str = "25006";
+    pub const FAILED_TRANSACTION: &str = "25P02";
     pub const SNAPSHOT_TOO_OLD: &str = "72000";
     pub const UNTRANSLATABLE: &str = "22021";
     pub const DUPLICATE_OBJECT: &str = "42710";
@@ -610,11 +611,12 @@
             put_text(b, value);
         });
     }
-    put_ready(out);
+    put_ready(out, false);
 }
 
-pub fn put_ready(out: &mut Vec<u8>) {
-    message(out, b'Z', |b| b.push(b'I'));
+/// The session is ready for the next query, maybe in a transaction that has failed.
+pub fn put_ready(out: &mut Vec<u8>, failed: bool) {
+    message(out, b'Z', |b| b.push(if failed { b'E' } else { b'I' }));
 }
 
 pub fn put_empty_query(out: &mut Vec<u8>) {
