Measure waiting against the median of hosts that are not full, not the fastest tenth

Cause: the story on headroom failed now and then, since an idle host passed for full: 2.5 times the tenth of latencies is what three in ten take without any wait. Service is the median at hosts that are not full now, and waiting three times that.

--- a/crates/headroom/src/lib.rs
+++ b/crates/headroom/src/lib.rs
@@ -14,11 +14,11 @@
 const PERIOD: Micros = 100_000;
 /// Weight of the old value of a rate, for each period: half is forgotten in about 0.7 s.
 const OLD: f64 = 0.905;
-/// A quantile of latencies moves by this part of itself: towards the tenth, which is service without wait.
+/// The median of a class's latencies at hosts that are not full moves by this part of itself: service without wait.
 const STEP: f64 = 0.02;
-const QUANTILE: f64 = 0.1;
-/// An answer that took so many times its class's service waited: its host has no core free.
-const WAITED: f64 = 2.5;
+/// An answer that took so many times that median waited: its host has no core free. Where times vary as they do, with
+/// no wait, 2 (cv^2 0.3) to 9 (cv^2 1) in 100 take longer. Guards against idle hosts that pass for full ones.
+const WAITED: f64 = 3.0;
 /// Over this share of such answers, or of attempts turned away, a host is full.
 const FULL: f64 = 0.3;
 /// A capacity that was seen follows the work of a full host by this part, and is trusted for so long.
@@ -162,12 +162,10 @@
                 let s = &mut self.service[c];
                 if self.seen[c] == 0 {
                     *s = took;
-                } else if self.seen[c] < ENOUGH {
-                    // A rare class would else be held for its first answer, maybe its longest, for a minute.
-                    *s = s.min(took);
-                } else {
-                    // Up by a little for each longer one, down by more for each shorter: at rest at the quantile.
-                    *s *= if took > *s { 1.0 + STEP * QUANTILE } else { 1.0 - STEP * (1.0 - QUANTILE) };
+                } else if h.share_full <= FULL {
+                    // Fast at first: a rare class would else be held for its first answer for a minute.
+                    let step = STEP.max(0.3 / f64::from(self.seen[c] + 1));
+                    *s *= if took > *s { 1.0 + step } else { 1.0 - step };
                 }
                 self.seen[c] = self.seen[c].saturating_add(1);
                 h.served += *s;
