Mend what a second reading found: cut errors, unseen arrivals, silent ends, a lax bound

Cause: read once more, a host's first error of over 64 KB was cut and its rest taken for messages; requests shed at the door were in no capture as arrivals, so that more were refused than came; explain cut standard input at 8 MB and judged what was left; the test of 1,000 hosts allowed 60 s for 0.8.

Each is refused, counted or bounded now.

--- a/crates/plan/tests/plan.rs
+++ b/crates/plan/tests/plan.rs
@@ -261,7 +261,7 @@
 }
 
 #[test]
-fn a_thousand_hosts_in_a_hundred_groups_are_answered_in_under_a_second() {
+fn a_thousand_hosts_in_a_hundred_groups_are_answered_in_seconds_on_any_machine() {
     let mut f = fleet(100, 9);
     // No two groups alike, so that none is spared by being the same as another.
     f.groups.iter_mut().enumerate().for_each(|(i, g)| g.share = 1.0 + i as f64 / 100.0);
@@ -270,8 +270,8 @@
     let s = saturate(&f, &load(20_000.0, 8_000.0, 900.0), 0.95, &quiet());
     let took = begun.elapsed();
     assert_eq!(s.limits[0].of, "group 99");
-    // Twenty times slower without optimisation; the figure of a release build stands in docs/planner.md.
-    assert!(took.as_secs() < 60, "{took:?}");
+    // Ten times what a release build takes, by docs/planner.md.
+    assert!(took.as_secs() < 8, "{took:?}");
 }
 
 proptest! {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -200,7 +200,10 @@
             let mut text = Vec::new();
             match &self.statement {
                 Some(statement) => text.extend_from_slice(statement.as_bytes()),
-                None => drop(io::stdin().lock().take(MOST_LINE).read_to_end(&mut text)?),
+                None => drop(io::stdin().lock().take(MOST_LINE + 1).read_to_end(&mut text)?),
+            }
+            if text.len() as u64 > MOST_LINE {
+                return Err(io::Error::other(format!("a statement of over {MOST_LINE} bytes")));
             }
             self.one(desk, &text, out)?;
             out.flush()?;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -627,7 +627,7 @@
                 // The answers to commands before this one do not wait for its own.
                 self.flush().await?;
                 self.told = None;
-                let verdict = if self.all.core.lets_in(call.class, call.group) {
+                let verdict = if self.all.core.lets_in(&call) {
                     self.serve(&call, &statement, plain.as_ref(), left).await
                 } else {
                     // At the door, before it could wait for anything.
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -263,11 +263,13 @@
     }
 
     /// Whether a request may come in; always, where headroom does not bind.
-    pub fn lets_in(&self, class: u8, group: GroupId) -> bool {
+    pub fn lets_in(&self, call: &Call) -> bool {
+        // What is turned away here has come too.
+        self.note(|r| r.arrived(call.class, call.group, call.expected));
         let mut headroom = self.headroom.borrow_mut();
         let Some(headroom) = headroom.as_mut() else { return true };
         let lot = self.lots.borrow_mut().rand_float();
-        headroom.arrived(class, group, lot, self.clock.now()) || !self.sheds.get()
+        headroom.arrived(call.class, call.group, lot, self.clock.now()) || !self.sheds.get()
     }
 
     /// From now on load is recorded so, or not at all.
@@ -336,7 +338,6 @@
             inner.open.insert(id, Open { orders, give_up_at: call.give_up_at, attempts: 0, coming });
             id
         };
-        self.note(|r| r.arrived(call.class, call.group, call.expected));
         let now = self.clock.now();
         // 0 stands for no token, so a commit of this very moment counts as a little older.
         let age = call.after.map_or(0.0, |at| (now.saturating_sub(at) as f32 / 1e3).max(0.001));
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -272,6 +272,8 @@
         let len = usize::try_from(i32::from_be_bytes([a, b, c, d])).unwrap_or(0);
         let most = match kind {
             b'D' => MOST_ROW,
+            // Read here, and so taken whole.
+            b'E' if !self.begun => MOST_NOTE,
             b'T' | b'C' | b'I' | b'N' | b'E' => MOST_PART,
             b'S' | b'A' => MOST_NOTE,
             b'Z' => 5,
@@ -291,7 +293,7 @@
                 }
             }
             b'S' | b'A' | b'Z' => return self.own(inbox, kind, len),
-            b'E' if !self.begun => return self.own(inbox, kind, len.min(MOST_NOTE)),
+            b'E' if !self.begun => return self.own(inbox, kind, len),
             b'C' | b'I' | b'E' => self.columns = None,
             _ => {}
         }
