--- a/crates/plan/src/answers.rs
+++ b/crates/plan/src/answers.rs
@@ -387,8 +387,8 @@
 }
 
 /// What is served when something is lost, and whether all is as before once it is back.
-pub fn lose(fleet: &Fleet, load: &Load, lost: &Lost) -> Loss {
-    let first = limits(fleet, load, &Change::default());
+pub fn lose(fleet: &Fleet, load: &Load, lost: &Lost, change: &Change) -> Loss {
+    let first = limits(fleet, load, change);
     let busiest = first.iter().find(|l| l.0 == Resource::PrimaryCores).and_then(|l| l.1);
     let busiest = busiest.map(|i| fleet.groups[i].id);
     let hit = |g: &Group, m: &Member| match lost {
@@ -412,14 +412,16 @@
     };
     let served = figure(fleet, load, |f, l| {
         let (left, _) = f.without(hit);
-        worth(&left, &keep(l), &Change::default(), gone)
+        worth(&left, &keep(l), change, gone)
     });
-    Loss { hosts, groups_gone, primaries_gone, served, back_after_s: back_after(fleet, load, hit) }
+    Loss { hosts, groups_gone, primaries_gone, served, back_after_s: back_after(fleet, load, change, hit) }
 }
 
 /// Seconds until a group whose lost members return cold serves nine tenths of what it did, from the state of a
 /// group that was failing: the slowest group counts.
-fn back_after(fleet: &Fleet, load: &Load, hit: impl Fn(&Group, &Member) -> bool) -> Option<f64> {
+fn back_after(
+    fleet: &Fleet, load: &Load, change: &Change, hit: impl Fn(&Group, &Member) -> bool,
+) -> Option<f64> {
     let all = shares(fleet, load);
     let mut slowest: f64 = 0.0;
     for (i, g) in fleet.groups.iter().enumerate() {
@@ -429,7 +431,7 @@
         else {
             continue;
         };
-        let before = rest(fleet, g, load, all[i], &Change::default()).better.worth();
+        let before = rest(fleet, g, load, all[i], change).better.worth();
         let lost = fleet.cores(g, false) - {
             let mut left = g.clone();
             left.members.retain(|m| !hit(g, m));
@@ -440,7 +442,7 @@
         let whole = fleet.cores(g, false).max(1e-9);
         let back = (0..=40).map(|k| f64::from(k) / 40.0).find(|at| {
             let warmth = 1.0 - lost / whole * (1.0 - (cold + (1.0 - cold) * at));
-            let change = Change { warmth, ..Change::default() };
+            let change = Change { warmth, ..change.clone() };
             let found: Rest = rest(fleet, g, load, all[i], &change);
             // A group that was failing stays in the worse state as long as there is one.
             found.worse.unwrap_or(found.better).worth() >= 0.9 * before
--- a/crates/plan/tests/plan.rs
+++ b/crates/plan/tests/plan.rs
@@ -208,18 +208,18 @@
 #[test]
 fn a_room_that_is_lost_takes_its_share_and_comes_back_cold() {
     let (f, l) = (fleet(2, 3), load(200.0, 80.0, 10.0));
-    let lost = lose(&f, &l, &Lost::Room("b".into()));
+    let lost = lose(&f, &l, &Lost::Room("b".into()), &quiet());
     assert_eq!((lost.hosts, lost.groups_gone.len(), lost.primaries_gone.len()), (6, 0, 0));
     // Two primaries are left of eight hosts, for the work of 12.5 cores.
     assert!((0.4..0.8).contains(&lost.served.value), "{lost:?}");
     assert!(lost.served.low < lost.served.value && !lost.served.hangs_on.is_empty());
     let back = lost.back_after_s.expect("it comes back");
     assert!((0.0..15.0).contains(&back), "{back}");
-    let primaries = lose(&f, &l, &Lost::Room("a".into()));
+    let primaries = lose(&f, &l, &Lost::Room("a".into()), &quiet());
     assert_eq!((primaries.hosts, primaries.primaries_gone.as_slice()), (2, &[0, 1][..]));
-    let one = lose(&f, &l, &Lost::BusiestPrimary);
+    let one = lose(&f, &l, &Lost::BusiestPrimary, &quiet());
     assert_eq!((one.hosts, one.primaries_gone.len()), (1, 1));
-    let all = lose(&f, &l, &Lost::Kind("std".into()));
+    let all = lose(&f, &l, &Lost::Kind("std".into()), &quiet());
     assert_eq!((all.hosts, all.groups_gone.as_slice(), all.served.value), (8, &[0, 1][..], 0.0));
     // Under full load, with tries that cost their work, the cold room is not enough to come back.
     let mut greedy = f.clone();
@@ -227,7 +227,7 @@
     let full = saturate(&greedy, &l, 0.95, &quiet()).goal.value;
     let mut heavy = l.clone();
     heavy.classes.values_mut().for_each(|c| c.per_s *= full * 0.97);
-    assert_eq!(lose(&greedy, &heavy, &Lost::Room("b".into())).back_after_s, None);
+    assert_eq!(lose(&greedy, &heavy, &Lost::Room("b".into()), &quiet()).back_after_s, None);
 }
 
 #[test]
--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -356,9 +356,7 @@
                 (_, Some(kind)) => return Err(one(format!("the fleet has no kind {kind:?}"))),
                 _ => Lost::BusiestPrimary,
             };
-            let mut load = read.load.clone();
-            load.classes.values_mut().for_each(|c| c.per_s *= read.change.load);
-            let answer = lose(&read.fleet, &load, &lost);
+            let answer = lose(&read.fleet, &read.load, &lost, &read.change);
             asked.answer(&read, &answer, say_loss)?;
         }
         Command::WhatIf(asked) => {
