--- a/src/logic.rs
+++ b/src/logic.rs
@@ -86,6 +86,10 @@
 const SCARCE: f64 = 0.2;
 const REFUSED: Micros = 50_000;
 const SCARCE_OLD: f64 = 0.95;
+/// So many servers of a room without an answer, and none from the room between: it is held to be lost for so
+/// long after the last of them. One of hundreds of routers sees too little to learn it of each server.
+const DARK: usize = 3;
+const DARK_FOR: Micros = 4_000_000;
 /// Known positions are kept fresh for so long after a plain request.
 const PLAIN_FOR: Micros = 5_000_000;
 /// Sessions remembered; past it the oldest fold into a floor that binds every session.
@@ -121,6 +125,9 @@
     chat: f64,
     /// Recent share of attempts that got no connection.
     unconnected: f64,
+    /// When each room last answered, and which are held to be lost, since when and until when.
+    heard: BTreeMap<u8, Micros>,
+    dark: BTreeMap<u8, (Micros, Micros)>,
     listed_once: bool,
     /// Until when plain reads are expected, for which known positions alone count.
     plain_until: Micros,
@@ -147,6 +154,8 @@
             probes: 1.0,
             chat: 0.0,
             unconnected: 0.0,
+            heard: BTreeMap::new(),
+            dark: BTreeMap::new(),
             listed_once: false,
             plain_until: 0,
             due: Due::default(),
@@ -177,8 +186,11 @@
                 Event::Streaming(id, attempt) => {
                     self.requests.entry(*id).and_modify(|r| r.streaming = Some(usize::from(*attempt)));
                 }
-                Event::Probed { server, ok: true, report } => self.report(*server, *report, false),
-                Event::Probed { .. } | Event::Timer(_) => {}
+                Event::Probed { server, ok, report } => {
+                    self.index.get(server).copied().into_iter().for_each(|i| self.answered(i, *ok));
+                    self.report(*server, if *ok { *report } else { Report::default() }, false);
+                }
+                Event::Timer(_) => {}
                 Event::ByHand { server, out, since } => self.by_hand(*server, *out, *since),
                 Event::Peer { bytes, .. } => self.heard(bytes),
                 Event::List { kind, entries } => self.list(*kind, entries),
@@ -212,6 +224,29 @@
         }
     }
 
+    /// Whether a server may be tried as any other: its room is not lost, or it started since.
+    fn healthy(&self, i: usize) -> bool {
+        let s = &self.servers[i];
+        let dark = self.dark.get(&s.zone);
+        s.healthy(self.now) && dark.is_none_or(|d| s.listed_start > d.0 || d.1 < self.now)
+    }
+
+    /// A server answered, or left something unanswered for its whole time.
+    fn answered(&mut self, i: usize, answer: bool) {
+        let zone = self.servers[i].zone;
+        self.servers[i].silent_at = if answer { 0 } else { self.now };
+        if answer {
+            self.heard.insert(zone, self.now);
+            self.dark.remove(&zone);
+            return;
+        }
+        let heard = self.heard.get(&zone).copied().unwrap_or(0);
+        let silent = self.servers.iter().filter(|s| s.zone == zone && s.silent_at > heard).count();
+        if silent >= DARK {
+            self.dark.entry(zone).or_insert((self.now, 0)).1 = self.now + DARK_FOR;
+        }
+    }
+
     /// Whether the list lets this router send to a server.
     fn sendable(&self, i: usize, primary_work: bool) -> bool {
         let s = &self.servers[i];
@@ -324,7 +359,7 @@
         let primary = group.primary;
         if matches!(need, Need::Write | Need::Fresh) {
             let i = primary?;
-            let open = self.sendable(i, true) && self.servers[i].healthy(self.now);
+            let open = self.sendable(i, true) && self.healthy(i);
             return (open && self.servers[i].has_room(self.now) && self.lets_in(i, r, true)).then_some(i);
         }
         let lowest = group.members.iter().filter_map(|&i| self.servers[i].adjusted);
@@ -361,7 +396,7 @@
                 points = behind as f64;
                 tier = 2;
             }
-            tier += if self.servers[i].healthy(self.now) { 0 } else { 3 };
+            tier += if self.healthy(i) { 0 } else { 3 };
             tier += if r.attempts.iter().any(|a| a.server == i) { 6 } else { 0 };
             options.push((tier, points, i, self.servers[i].has_room(self.now)));
         }
@@ -587,9 +622,12 @@
         self.adapt(i, class, outcome, latency);
         let s = &mut self.servers[i];
         let lost = outcome == Outcome::ConnectFailed && s.lost(latency >= REFUSED);
-        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Miss) {
-            s.last_answer = self.now;
+        let answer = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Miss);
+        s.last_answer = if answer { self.now } else { s.last_answer };
+        if answer || outcome == Outcome::Timeout || (lost && latency >= REFUSED) {
+            self.answered(i, answer);
         }
+        let s = &mut self.servers[i];
         match outcome {
             Outcome::Ok => {
                 s.sample(self.now, value * scale, LIST_LEN);
@@ -721,7 +759,7 @@
     /// Looks for the primary with one held write at a time, the list's hint first, then by id.
     fn scout(&mut self, group: GroupId) {
         let Some(g) = self.groups.get(&group) else { return };
-        let known = g.primary.is_some_and(|p| self.sendable(p, true) && self.servers[p].healthy(self.now));
+        let known = g.primary.is_some_and(|p| self.sendable(p, true) && self.healthy(p));
         if known || g.scout.is_some() || self.now < g.scout_at || g.members.is_empty() {
             return;
         }
@@ -740,9 +778,7 @@
         let n = order.len();
         // A cold member is asked no more than it is read from: hundreds of routers look at once.
         let fit = |m: usize| {
-            self.servers[m].healthy(self.now)
-                && self.sendable(m, true)
-                && self.lets_in(m, &self.requests[&id], false)
+            self.healthy(m) && self.sendable(m, true) && self.lets_in(m, &self.requests[&id], false)
         };
         let found = (g.scout_next..n).find(|&k| fit(order[k]));
         let (next, target) = (found.map_or(n, |k| k + 1), found.map(|k| order[k]));
@@ -892,7 +928,8 @@
         let due = |i: &usize| {
             let s = &self.servers[*i];
             let unheard = s.position.is_none() || s.unheard;
-            let behind = unheard || self.reached(*i, plain).saturating_add(tightest) < self.now;
+            let dark = self.dark.contains_key(&s.zone);
+            let behind = dark || unheard || self.reached(*i, plain).saturating_add(tightest) < self.now;
             let due = s.probed_at.is_none_or(|t| t + PROBE_GAP <= self.now && tightest < Micros::MAX);
             // Where answers tell positions, one that answers, or is still cold, need not be asked.
             let quiet = s.in_flight == 0 && s.last_answer + PROBE_GAP <= self.now;
@@ -902,9 +939,11 @@
             s.listed == Listed::Ready && self.out_since(s.id).is_none() && behind && due && fit
         };
         let mut due: Vec<usize> = (0..self.servers.len()).filter(due).collect();
-        // Those that started lately first, then longest unasked; each router begins elsewhere.
+        // Those of lost rooms and those that started lately first, then longest unasked; each router begins
+        // elsewhere.
         let from = |i: usize| (i + self.set.ordinal as usize) % self.servers.len();
-        due.sort_by_key(|&i| (!self.servers[i].unheard, self.servers[i].probed_at, from(i)));
+        let soon = |s: &Server| s.unheard || self.dark.contains_key(&s.zone);
+        due.sort_by_key(|&i| (!soon(&self.servers[i]), self.servers[i].probed_at, from(i)));
         for i in due.into_iter().take(self.probes as usize) {
             let s = &mut self.servers[i];
             s.probed_at = Some(self.now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,6 +28,8 @@
     /// Age of the oldest unanswered attempt in the same unit as the samples.
     pub pending: f64,
     pub last_answer: Micros,
+    /// When it last left something unanswered for its whole time; 0 after an answer.
+    pub silent_at: Micros,
     pub position: Option<Micros>,
     /// Distance of the position behind the clock when last heard, and when that was.
     pub lag: Micros,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -530,6 +530,71 @@
     assert!(reads > 0, "unheard for long, it may try");
 }
 
+/// Twenty servers in each of two rooms; answers tell no position. The room of the even ones is room 1.
+fn two_rooms(seed: u64) -> Rig {
+    let set = Settings { positions: false, routers: 100, ..checked() };
+    let mut rig = Rig::new(set.clone());
+    rig.router = Router::new(set, seed);
+    let ready =
+        |id: ServerId| Entry { zone: u8::from(id.is_multiple_of(2)), ..entry(id, Listed::Ready, id == 1, 0) };
+    rig.at(0, &[list(ListKind::Cached, (1..=40).map(ready).collect())]);
+    rig
+}
+
+/// Asks so many times, about 15 times a second; what is sent to a server for which `dead` holds times out.
+/// Returns how many attempts that were.
+fn ask_often(rig: &mut Rig, ids: std::ops::Range<RequestId>, dead: impl Fn(ServerId) -> bool) -> usize {
+    let mut lost = 0;
+    for n in ids {
+        let out = rig.ask(n, 0);
+        let server = target(&out, n).expect("sent");
+        let (outcome, latency) =
+            if dead(server) { (Outcome::Timeout, 200 * MS) } else { (Outcome::Ok, 20 * MS) };
+        lost += usize::from(dead(server));
+        rig.end_untold(n, server, outcome, latency);
+        if outcome == Outcome::Timeout {
+            rig.at(0, &[Event::ClientGone(n)]);
+        }
+        rig.at(40 * MS, &[]);
+    }
+    lost
+}
+
+/// A room of twenty servers is lost: of fifteen requests a second none can be spent to find out about each.
+#[test]
+fn a_lost_room_is_left_as_a_whole_by_routers_that_see_little() {
+    for seed in 0..50 {
+        let mut rig = two_rooms(seed);
+        assert_eq!(ask_often(&mut rig, 0..40, |_| false), 0);
+        let lost = ask_often(&mut rig, 40..100, |server| server.is_multiple_of(2));
+        assert!((1..=5).contains(&lost), "seed {seed}: {lost} of 60 went to the lost room");
+        // One that answers a probe brings its room back.
+        rig.at(0, &[Event::Probed { server: 8, ok: true, report: Report::default() }]);
+        let back = (100..200).filter(|&n| {
+            let server = target(&rig.ask(n, 0), n).expect("sent");
+            rig.end_untold(n, server, Outcome::Ok, 20 * MS);
+            server.is_multiple_of(2)
+        });
+        assert!(back.count() > 10, "seed {seed}");
+    }
+}
+
+/// Some servers of a room are silent and others answer: the room is none the worse for it.
+#[test]
+fn silent_servers_do_not_take_the_others_of_their_room_with_them() {
+    for seed in 0..50 {
+        let mut rig = two_rooms(seed);
+        ask_often(&mut rig, 0..200, |server| matches!(server, 2 | 4 | 6 | 8));
+        let mut used = std::collections::BTreeSet::new();
+        for n in 200..400 {
+            let server = target(&rig.ask(n, 0), n).expect("sent");
+            used.insert(server);
+            rig.end_untold(n, server, Outcome::Ok, (20 + u64::from(n % 7)) * MS);
+        }
+        assert!(used.iter().any(|s| s.is_multiple_of(2)), "seed {seed}: {used:?}");
+    }
+}
+
 /// Work turned away elsewhere must not add up at a cold server.
 #[test]
 fn further_attempts_do_not_go_to_a_cold_server() {
