--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,7 @@
 use cli::{Cli, Command};
 use config::Config;
 use futures_lite::{StreamExt, future};
+use net::backoff::Backoff;
 use net::client::Clients;
 use net::console::Console;
 use net::core::Core;
@@ -146,10 +147,10 @@
     let record = net::capture::run(core.clone(), operator.file.capture.clone(), config.name.clone());
     executor.spawn(record).detach();
     let (moves, moved) = async_channel::unbounded();
-    let discovery = config.discovery;
+    let (discovery, backoff) = (config.discovery, Backoff::new(config.settings.routers, config.seed));
     let watch = {
         let core = core.clone();
-        async move { discovery::run(discovery, moved, known, &core, &hosts).await }
+        async move { discovery::run(discovery, moved, known, backoff, &core, &hosts).await }
     };
     executor.spawn(watch).detach();
     let (name, linger, address) = (config.name.clone(), config.linger, config.listen);
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -3,6 +3,7 @@
 //! the module's events and the module's actions into messages to whoever carries them out. It must
 //! never touch a socket, name a message of any protocol, or decide anything itself.
 
+use super::backoff;
 use super::discovery::{Listing, Status};
 use async_channel::{Receiver, Sender, TryRecvError, unbounded};
 use async_io::Timer;
@@ -22,7 +23,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::info;
 
-/// With a list of before, this much silence of discovery is waited for.
+/// With a list of before, this much silence of discovery is waited for, unless its callers take turns.
 const SILENT: Duration = Duration::from_secs(1);
 
 /// A name that has left the list is kept for so many times as long as a server is cold: longer than
@@ -163,6 +164,8 @@
     /// Whether each class drops repeats by a key.
     keyed: Vec<bool>,
     kept: Micros,
+    /// For how long discovery may be silent before the list of before will have to do.
+    silent: Duration,
     timer_set: (Sender<()>, Receiver<()>),
     chores: Sender<Chore>,
     /// What is left of the hosts' capacity, where it is learnt, whether it binds, and the lots for that.
@@ -183,6 +186,7 @@
         let (chores, todo) = unbounded();
         let limits = &settings.limits;
         let retry_in = if limits.retry_after { limits.max_retry_after / 4 } else { 0 };
+        let silent = if backoff::takes_turns(settings.routers) { Duration::ZERO } else { SILENT };
         let kept = settings.safety.cold.saturating_mul(KEPT_COLD);
         let keyed = settings.classes.iter().map(|c| matches!(c.effect, Effect::Keyed(..))).collect();
         let worth = |c: &sillfold::Class| HeadroomClass { worth: c.worth, writes: c.need == Need::Write };
@@ -206,6 +210,7 @@
             inner: RefCell::new(inner),
             keyed,
             kept,
+            silent,
             timer_set: async_channel::bounded(1),
             chores,
             recorder: RefCell::default(),
@@ -222,7 +227,7 @@
     /// list of before will have to do.
     pub async fn ready(&self) {
         let old_list = async {
-            Timer::at(self.clock.started + SILENT).await;
+            Timer::at(self.clock.started + self.silent).await;
             if !self.is_ready() {
                 future::pending::<()>().await;
             }
@@ -232,7 +237,7 @@
 
     /// Whether `ready` returns at once.
     pub fn is_ready(&self) -> bool {
-        self.listed.0.is_closed() || (self.knows_servers() && self.clock.started.elapsed() >= SILENT)
+        self.listed.0.is_closed() || (self.knows_servers() && self.clock.started.elapsed() >= self.silent)
     }
 
     /// Counts something of a class.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,6 +2,7 @@
 //! discovery's agent and the index of the last news. It reconnects for as long as the program runs.
 //! It must never touch a connection to a database host, and bad news must never spoil the list.
 
+use super::backoff::Backoff;
 use super::by;
 use super::core::Core;
 use super::hosts::Hosts;
@@ -17,9 +18,8 @@
 const PATH: &str = "/registry/instances";
 /// An empty line comes every 2 s; after this long without one the connection is taken for dead.
 const SILENCE: Duration = Duration::from_secs(7);
-/// The first wait before another try, and the longest.
-const FIRST_WAIT: Duration = Duration::from_millis(50);
-const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// A watch that held for so long went well.
+const HELD: Duration = Duration::from_secs(1);
 /// The longest line or body that is kept.
 const MOST_BYTES: usize = 4 << 20;
 
@@ -101,19 +101,26 @@
 /// Keeps the list current, from the version that is known, at the agent last moved to. A move leaves
 /// the old agent at once, whatever is out there, and the watch goes on where it was.
 pub async fn run(
-    mut agent: SocketAddr, moved: Receiver<SocketAddr>, known: Option<u64>, core: &Core, hosts: &Hosts,
+    mut agent: SocketAddr, moved: Receiver<SocketAddr>, known: Option<u64>, mut backoff: Backoff,
+    core: &Core, hosts: &Hosts,
 ) {
     let mut index = known;
-    let mut wait = FIRST_WAIT;
+    // Guards against a release after which all proxies ask at once, and most are turned away: what was known
+    // will do for a while.
+    let mut wait = if known.is_some() { backoff.first() } else { Duration::ZERO };
     loop {
         let watch = async {
-            let before = Instant::now();
-            if let Err(what) = session(agent, &mut index, core, hosts).await {
+            Timer::after(wait).await;
+            let mut accepted = None;
+            if let Err(what) = session(agent, &mut index, &mut accepted, core, hosts).await {
                 warn!(target: "discovery", "{what}");
             }
-            // A watch that held for a while may be reopened at once; a refusal is not hammered.
-            wait = if before.elapsed() > LONGEST_WAIT { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
-            Timer::after(wait).await;
+            // A watch that held for a while may be reopened soon; a refusal is not hammered, and one that was
+            // long in coming is no watch that held.
+            if accepted.is_some_and(|at: Instant| at.elapsed() > HELD) {
+                backoff.reset();
+            }
+            wait = backoff.failed();
             None
         };
         // Guards against a move that waits for the end of a try at an agent that is silent.
@@ -124,14 +131,15 @@
             }
         });
         if let Some(next) = next.await {
-            (agent, wait) = (next, FIRST_WAIT);
+            (agent, wait) = (next, Duration::ZERO);
+            backoff.reset();
         }
     }
 }
 
 /// One connection: the whole list where none is known, then a watch until it ends.
 async fn session(
-    agent: SocketAddr, index: &mut Option<u64>, core: &Core, hosts: &Hosts,
+    agent: SocketAddr, index: &mut Option<u64>, accepted: &mut Option<Instant>, core: &Core, hosts: &Hosts,
 ) -> Result<(), String> {
     let path = match *index {
         None => PATH.to_string(),
@@ -139,10 +147,14 @@
     };
     let mut http = Http::get(agent, &path).await?;
     if http.status != 200 {
-        // The version may be one that discovery no longer knows: begin again with the whole list.
-        *index = None;
+        // The version may be one that discovery no longer knows: begin again with the whole list. Guards
+        // against a hundred proxies that ask an overbooked discovery for whole lists instead of news.
+        if (400..500).contains(&http.status) && http.status != 429 {
+            *index = None;
+        }
         return Err(format!("status {} for {path}", http.status));
     }
+    *accepted = Some(Instant::now());
     let mut apply = |text: &[u8]| match Listing::parse(text) {
         Ok(listing) => {
             hosts.listed(&core.list(&listing, false), &listing);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,10 +1,10 @@
-//! Everything that touches sockets, in eight parts. `core` owns the decision module, time and the
+//! Everything that touches sockets, in nine parts. `core` owns the decision module, time and the
 //! figures, `client` a request's life, `hosts` the connections to database hosts, `discovery` the
 //! list, `console` the operators' door, `statements` the desk for plain statements,
-//! `capture` the record of load, `upgrade` what two processes
-//! share.
+//! `capture` the record of load, `upgrade` what two processes share, `backoff` the waits between tries.
 //! This file holds only what they share; it must never decide nor keep state beyond a moment.
 
+pub mod backoff;
 pub mod capture;
 pub mod client;
 pub mod console;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -421,6 +421,31 @@
     assert_eq!(client.answer().value.as_deref(), Some("v"));
 }
 
+/// After a release a hundred proxies start at once: each serves from the list it had, and asks in its turn.
+#[test]
+fn one_of_many_proxies_serves_from_the_list_it_had_before_it_asks_discovery() {
+    let host = served("v");
+    let proxy = Proxy::start_with(&[&host], 1024, |c| c.replace("\"balancers\":1,", "\"balancers\":100,"));
+    let mut client = proxy.client();
+    client.send(&query(""));
+    assert!(client.answer().empty);
+    assert_eq!(client.ask(&read("1", "history", 9000)).value.as_deref(), Some("v"));
+    assert!(!proxy.agent.was_asked());
+    assert!(proxy.agent.asked().contains("stream=1&index=41 "));
+}
+
+/// Whole lists for those that want only news would keep an overbooked discovery so.
+#[test]
+fn a_watch_that_is_turned_away_is_asked_for_again_and_no_whole_list() {
+    let host = served("v");
+    let proxy = Proxy::start(&[&host], 1024);
+    let next = Agent::overbooked(2);
+    proxy.reload(&proxy.agent.address.to_string(), &next.address.to_string());
+    for _ in 0..3 {
+        assert!(next.asked().contains("stream=1&index=41 "));
+    }
+}
+
 #[test]
 fn sigterm_answers_what_was_taken_serves_newcomers_for_a_while_and_exits_with_0() {
     let (answer_now, may_answer) = std::sync::mpsc::channel::<()>();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -194,6 +194,10 @@
 
 impl Agent {
     pub fn start() -> Agent {
+        Agent::overbooked(0)
+    }
+    /// One that turns so many calls away first.
+    pub fn overbooked(mut refusals: usize) -> Agent {
         let listener = listener();
         let address = listener.local_addr().expect("bound");
         let (tell, asked) = channel();
@@ -204,6 +208,11 @@
                 let mut read = BufReader::new(s.try_clone().expect("clone"));
                 while !request.ends_with("\r\n\r\n") && read.read_line(&mut request).is_ok_and(|n| n > 0) {}
                 let _ = tell.send(request.lines().next().unwrap_or("").to_string());
+                if refusals > 0 {
+                    refusals -= 1;
+                    let _ = s.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                    continue;
+                }
                 let _ = s.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                 // No line ends this watch.
                 while let Ok(Some(line)) = next.recv() {
@@ -216,6 +225,9 @@
     pub fn asked(&self) -> String {
         self.asked.recv_timeout(PATIENCE).expect("the agent is asked")
     }
+    pub fn was_asked(&self) -> bool {
+        self.asked.try_recv().is_ok()
+    }
     pub fn line(&self, line: &str) {
         self.lines.send(Some(line.to_string())).expect("the agent runs");
     }
