--- a/src/logic.rs
+++ b/src/logic.rs
@@ -66,6 +66,8 @@
 const LATE_AT: f64 = 0.5;
 const LATE_SHARE: f64 = 0.10;
 const CUT: f64 = 0.5;
+/// The limits of so many routers go down to one, those of more to a fraction: a pause after each attempt.
+const FEW: f64 = 8.0;
 const CUT_GAP: Micros = 200_000;
 /// Over this share of timed-out lone attempts of a class, so many times its excess is refused, at most the
 /// third share: some must come through to show that it is over.
@@ -670,11 +672,17 @@
     fn adapt(&mut self, i: usize, class: usize, outcome: Outcome, latency: Micros) {
         let aim = self.set.classes[class].aim as f64;
         let s = &mut self.servers[i];
-        // Where timed-out work goes on, a limit of one still sends too much: pause, the longer the lower.
+        // Where timed-out work goes on, a limit of one still sends too much: pause, the longer the lower. Under
+        // one by lot, so that a hundred routers which paused together do not come back together.
+        let mut paused = |gap: Micros| match s.limit {
+            1.0.. => gap as f64,
+            low => (gap as f64 / (low * low) * (0.5 + self.rng.rand_float())).min(LIST_AGE as f64),
+        };
         let (late, pause) = match outcome {
             Outcome::Ok => (latency as f64 > aim * LATE_AT, 0),
-            Outcome::Timeout => (true, (PERIOD as f64 / (s.limit * s.limit)) as u64),
-            Outcome::Full => (true, FULL_GAP),
+            Outcome::Timeout if s.limit >= 1.0 => (true, (PERIOD as f64 / (s.limit * s.limit)) as u64),
+            Outcome::Timeout => (true, paused(PERIOD) as u64),
+            Outcome::Full => (true, paused(FULL_GAP) as u64),
             _ => return,
         };
         // Timed out though nothing else of this router was there: the limit can't help, since hundreds of
@@ -688,12 +696,14 @@
         s.late = averaged(s.late, f64::from(late), OLD);
         if s.late > LATE_SHARE {
             if late && self.now >= s.cut_at {
-                s.limit = (s.limit.min(f64::from(s.in_flight) + 1.0) * CUT).max(1.0);
+                // One attempt of each of a hundred routers is too much as well.
+                let least = (FEW / f64::from(self.set.routers.max(1))).min(1.0);
+                s.limit = (s.limit.min(f64::from(s.in_flight) + 1.0) * CUT).max(least);
                 s.cut_at = self.now + CUT_GAP;
                 s.late = LATE_SHARE / 2.0;
             }
         } else if !late && f64::from(s.in_flight) + 1.0 >= s.limit / 2.0 {
-            s.limit += 1.0 / s.limit;
+            s.limit += (1.0 / s.limit).min(s.limit);
         }
     }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -560,6 +560,42 @@
     lost
 }
 
+/// So many routers ask one server four times a second each, for so long. What is sent while `jammed` holds times
+/// out after 200 ms, the rest is served in 20 ms. Returns the attempts of each second.
+fn crowd(routers: u32, seconds: usize, jammed: impl Fn(usize) -> bool) -> Vec<usize> {
+    let mut attempts = vec![0; seconds];
+    for n in 0..routers {
+        let set = Settings { positions: false, routers, ordinal: n, ..checked() };
+        let mut rig = Rig::new(set.clone());
+        rig.router = Router::new(set, u64::from(n));
+        rig.at(0, &[list(ListKind::Cached, vec![entry(1, Listed::Ready, false, 0)])]);
+        for step in 0..seconds * 4 {
+            let id = step as RequestId;
+            let sent = target(&rig.ask(id, 0), id).is_some();
+            attempts[step / 4] += usize::from(sent);
+            let (outcome, latency) =
+                if jammed(step / 4) { (Outcome::Timeout, 200 * MS) } else { (Outcome::Ok, 20 * MS) };
+            if sent {
+                rig.end_untold(id, 1, outcome, latency);
+            }
+            rig.at(if sent { 250 * MS - latency } else { 250 * MS }, &[Event::ClientGone(id)]);
+        }
+    }
+    attempts
+}
+
+/// One attempt of each of a hundred routers jams a server for good; they must let it come to itself, and come back.
+#[test]
+fn a_hundred_routers_leave_a_jammed_server_alone_and_come_back() {
+    let attempts = crowd(100, 30, |second| second < 10);
+    // Asked for are 400 a second.
+    let (jam, after) = (attempts[5..10].iter().sum::<usize>() / 5, attempts[20..].iter().sum::<usize>() / 10);
+    assert!((1..=60).contains(&jam) && after > 300, "{jam} {after}: {attempts:?}");
+    // Three can't: their limits stay at one, and the pause at 100 ms.
+    let attempts = crowd(3, 10, |_| true);
+    assert!(attempts[8] >= 2, "{attempts:?}");
+}
+
 /// A room of twenty servers is lost: of fifteen requests a second none can be spent to find out about each.
 #[test]
 fn a_lost_room_is_left_as_a_whole_by_routers_that_see_little() {
