--- a/src/logic.rs
+++ b/src/logic.rs
@@ -66,7 +66,7 @@
 const LATE_AT: f64 = 0.5;
 const LATE_SHARE: f64 = 0.10;
 const CUT: f64 = 0.5;
-/// The limits of so many routers go down to one, those of more to a fraction: a pause after each attempt.
+/// So many routers each see much. Their limits go down to one, those of more to a fraction of one: a pause.
 const FEW: f64 = 8.0;
 const CUT_GAP: Micros = 200_000;
 /// Over this share of timed-out lone attempts of a class, so many times its excess is refused, at most the
@@ -78,6 +78,10 @@
 const LEAST: f64 = 1.5;
 /// Of its share of the work a cold server gets this part.
 const SLOT: f64 = 0.9;
+/// The same among many routers, each of which sees too little to notice in time that the warm ones are full;
+/// and the share of the multiple that tips one over that it may get at most.
+const SLOT_MANY: f64 = 1.1;
+const TIP_MANY: f64 = 0.6;
 /// A cold server competes at this multiple of its score for the lots it is open to: they are its whole
 /// share, and one lost to a warm server is not made up for.
 const OWN_LOT: f64 = 0.25;
@@ -226,6 +230,11 @@
         }
     }
 
+    /// Whether each router sees but a small part of what the servers do.
+    fn many(&self) -> bool {
+        f64::from(self.set.routers) > FEW
+    }
+
     /// Whether a server may be tried as any other: its room is not lost, or it started since.
     fn healthy(&self, i: usize) -> bool {
         let s = &self.servers[i];
@@ -244,7 +253,7 @@
         }
         let heard = self.heard.get(&zone).copied().unwrap_or(0);
         let silent = self.servers.iter().filter(|s| s.zone == zone && s.silent_at > heard).count();
-        if silent >= DARK {
+        if silent >= DARK && self.many() {
             self.dark.entry(zone).or_insert((self.now, 0)).1 = self.now + DARK_FOR;
         }
     }
@@ -317,7 +326,9 @@
         let place = (1.0 - r.lot) * slots - slot;
         let able = |&m: &usize| self.servers[m].cold_share(self.now, &self.set.safety).unwrap_or(1.0);
         let able: f64 = open.iter().filter(|&&m| self.sendable(m, false)).map(able).sum();
-        let part = (slots / able.max(share)).min(tip) * SLOT;
+        let part = slots / able.max(share);
+        let most = self.set.safety.tip_multiple * TIP_MANY;
+        let part = if self.many() { (part * SLOT_MANY).min(most) } else { part.min(tip) * SLOT };
         r.attempts.is_empty() && (0.0..share * part).contains(&place)
     }
 
@@ -672,17 +683,17 @@
     fn adapt(&mut self, i: usize, class: usize, outcome: Outcome, latency: Micros) {
         let aim = self.set.classes[class].aim as f64;
         let s = &mut self.servers[i];
-        // Where timed-out work goes on, a limit of one still sends too much: pause, the longer the lower. Under
+        // Where timed-out work goes on, a limit of one still sends too much: pause, the longer the lower. Below
         // one by lot, so that a hundred routers which paused together do not come back together.
         let mut paused = |gap: Micros| match s.limit {
-            1.0.. => gap as f64,
-            low => (gap as f64 / (low * low) * (0.5 + self.rng.rand_float())).min(LIST_AGE as f64),
+            1.0.. => gap,
+            low => ((gap as f64 / (low * low) * (0.5 + self.rng.rand_float())) as u64).min(LIST_AGE),
         };
         let (late, pause) = match outcome {
             Outcome::Ok => (latency as f64 > aim * LATE_AT, 0),
             Outcome::Timeout if s.limit >= 1.0 => (true, (PERIOD as f64 / (s.limit * s.limit)) as u64),
-            Outcome::Timeout => (true, paused(PERIOD) as u64),
-            Outcome::Full => (true, paused(FULL_GAP) as u64),
+            Outcome::Timeout => (true, paused(PERIOD)),
+            Outcome::Full => (true, paused(FULL_GAP)),
             _ => return,
         };
         // Timed out though nothing else of this router was there: the limit can't help, since hundreds of
