--- a/src/logic.rs
+++ b/src/logic.rs
@@ -681,10 +681,10 @@
     /// The limit follows what comes back: up with answers in time, cut when too many are late, overdue or
     /// turned away. It answers overload, slow, still and cold servers alike; waiting moves to this router.
     fn adapt(&mut self, i: usize, class: usize, outcome: Outcome, latency: Micros) {
-        let aim = self.set.classes[class].aim as f64;
+        let (aim, many) = (self.set.classes[class].aim as f64, self.many());
         let s = &mut self.servers[i];
-        // Where timed-out work goes on, a limit of one still sends too much: pause, the longer the lower. Below
-        // one by lot, so that a hundred routers which paused together do not come back together.
+        // Where timed-out work goes on, a limit of one still sends too much: pause, the longer the lower. By
+        // lot below one: a hundred routers which paused together must not come back together.
         let mut paused = |gap: Micros| match s.limit {
             1.0.. => gap,
             low => ((gap as f64 / (low * low) * (0.5 + self.rng.rand_float())) as u64).min(LIST_AGE),
@@ -696,9 +696,10 @@
             Outcome::Full => (true, paused(FULL_GAP)),
             _ => return,
         };
-        // Timed out though nothing else of this router was there: the limit can't help, since hundreds of
-        // routers with one attempt each overload a server too. Fewer are let in, all servers pooled.
-        if s.in_flight == 0 {
+        // Timed out though nothing else of this router was there: a limit of one can't help, since one attempt
+        // of each router overloads a server too. Fewer are let in, all servers pooled; but where limits go
+        // below one it is done for each server: a lost room is no want of capacity elsewhere.
+        if s.in_flight == 0 && !many {
             let share = &mut self.classes[class].late;
             *share = averaged(*share, f64::from(outcome == Outcome::Timeout), OLD);
         }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -105,9 +105,7 @@
     core: &Core, hosts: &Hosts,
 ) {
     let mut index = known;
-    // Guards against a release after which all proxies ask at once, and most are turned away: what was known
-    // will do for a while.
-    let mut wait = if known.is_some() { backoff.first() } else { Duration::ZERO };
+    let mut wait = if known.is_some() { backoff.soon() } else { Duration::ZERO };
     loop {
         let watch = async {
             Timer::after(wait).await;
@@ -115,12 +113,10 @@
             if let Err(what) = session(agent, &mut index, &mut accepted, core, hosts).await {
                 warn!(target: "discovery", "{what}");
             }
-            // A watch that held for a while may be reopened soon; a refusal is not hammered, and one that was
-            // long in coming is no watch that held.
-            if accepted.is_some_and(|at: Instant| at.elapsed() > HELD) {
-                backoff.reset();
-            }
-            wait = backoff.failed();
+            // A watch that held for a while is reopened soon: what drains meanwhile counts as told. A refusal is
+            // not hammered, and one that was long in coming is no watch that held.
+            let held = accepted.is_some_and(|at: Instant| at.elapsed() > HELD);
+            wait = if held { backoff.soon() } else { backoff.failed() };
             None
         };
         // Guards against a move that waits for the end of a try at an agent that is silent.
@@ -131,8 +127,7 @@
             }
         });
         if let Some(next) = next.await {
-            (agent, wait) = (next, Duration::ZERO);
-            backoff.reset();
+            (agent, wait) = (next, backoff.soon());
         }
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -596,6 +596,29 @@
     assert!(attempts[8] >= 2, "{attempts:?}");
 }
 
+/// A server that jams is no reason to refuse what another group could serve at once.
+#[test]
+fn one_of_many_routers_refuses_nothing_for_a_jam_elsewhere() {
+    for seed in 0..20 {
+        let mut rig = Rig::new(checked());
+        rig.router = Router::new(Settings { routers: 100, ..checked() }, seed);
+        let other = Entry { group: 1, ..entry(2, Listed::Ready, false, 0) };
+        rig.at(0, &[list(ListKind::Cached, vec![entry(1, Listed::Ready, false, 0), other])]);
+        for n in 0..40 {
+            if target(&rig.ask(n, 0), n).is_some() {
+                rig.end_untold(n, 1, Outcome::Timeout, 200 * MS);
+            }
+            rig.at(5_000 * MS, &[Event::ClientGone(n)]);
+        }
+        for n in 40..90 {
+            let give_up_at = rig.now + 2_000 * MS;
+            let event = Event::Request(Arrival { id: n, group: 1, give_up_at, ..Arrival::default() });
+            assert_eq!(target(&rig.at(0, &[event]), n), Some(2), "seed {seed}");
+            rig.end_untold(n, 2, Outcome::Ok, MS);
+        }
+    }
+}
+
 /// A room of twenty servers is lost: of fifteen requests a second none can be spent to find out about each.
 #[test]
 fn a_lost_room_is_left_as_a_whole_by_routers_that_see_little() {
