--- a/src/logic.rs
+++ b/src/logic.rs
@@ -696,9 +696,9 @@
             Outcome::Full => (true, paused(FULL_GAP)),
             _ => return,
         };
-        // Timed out though nothing else of this router was there: a limit of one can't help, since one attempt
-        // of each router overloads a server too. Fewer are let in, all servers pooled; but where limits go
-        // below one it is done for each server: a lost room is no want of capacity elsewhere.
+        // Timed out though nothing else of this router was there: a limit of one is no help, as one
+        // attempt of each router overloads a server too. Fewer are let in, all servers pooled; but where
+        // limits go below one it is done for each server: a lost room is no want of capacity elsewhere.
         if s.in_flight == 0 && !many {
             let share = &mut self.classes[class].late;
             *share = averaged(*share, f64::from(outcome == Outcome::Timeout), OLD);
