--- a/src/settings.rs
+++ b/src/settings.rs
@@ -25,7 +25,7 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Conf {
-    balancers: u32,
+    balancers: f64,
     ordinal: u32,
     zone: u8,
     classes: Vec<ClassConf>,
@@ -165,6 +165,12 @@
     let text = std::str::from_utf8(text)
         .map_err(|e| SettingsError(format!("settings: not UTF-8 at byte {}", e.valid_up_to())))?;
     let conf: Conf = serde_json::from_str(text).map_err(|e| SettingsError(format!("settings: {e}")))?;
+    if conf.balancers < 0.0 || conf.balancers.fract() != 0.0 {
+        return Err(SettingsError(format!(
+            "settings: balancers: {} is no number of proxies",
+            conf.balancers
+        )));
+    }
     let family = &conf.family_info;
     if family.class_read.len() < conf.classes.len() {
         return Err(SettingsError("settings: classRead is shorter than classes".into()));
@@ -222,7 +228,8 @@
         keepalive_us: l.keepalive_us as u64,
     };
     let settings = Settings {
-        routers: conf.balancers,
+        // One that is not counted is there all the same.
+        routers: (conf.balancers as u32).max(1),
         ordinal: conf.ordinal,
         zone: conf.zone,
         classes,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -425,7 +425,8 @@
 #[test]
 fn one_of_many_proxies_serves_from_the_list_it_had_before_discovery_speaks() {
     let host = served("v");
-    let proxy = Proxy::start_with(&[&host], 1024, |c| c.replace("\"balancers\":1,", "\"balancers\":100,"));
+    let proxy =
+        Proxy::start_with(&[&host], 1024, |c| c.replace("\"balancers\":1,", "\"balancers\":4000000000,"));
     let began = std::time::Instant::now();
     let mut client = proxy.client();
     client.send(&query(""));
@@ -448,6 +449,29 @@
     }
 }
 
+/// Thousands of lines, then a line cut off, then one whose version goes back: the proxy serves on, and goes on
+/// from the version that it was told last.
+#[test]
+fn a_list_of_thousands_of_lines_and_one_that_goes_back_are_taken_as_they_come() {
+    let host = served("v");
+    let proxy =
+        Proxy::start_with(&[&host], 1024, |c| c.replace("\"balancers\":1,", "\"balancers\":4000000000,"));
+    proxy.agent.asked();
+    let many: Vec<(&Host, &str)> = (0..4_000).map(|_| (&host, "SERVING")).collect();
+    let name = format!("s-{}", host.address.port());
+    let line: Vec<String> = list(42, true, &many).split(&name).map(str::to_string).collect();
+    let line: String = line.iter().enumerate().map(|(n, part)| format!("{part}s-{n}")).collect();
+    let line = line.trim_end_matches("s-4000").to_string();
+    proxy.agent.line(&line);
+    proxy.agent.line(&line[..line.len() / 2]);
+    proxy.logged("the list stays as it was");
+    assert_eq!(proxy.client().ask(&read("1", "history", 9000)).value.as_deref(), Some("v"));
+    proxy.agent.line(&list(7, true, &[(&host, "SERVING")]));
+    proxy.agent.end_watch();
+    assert!(proxy.agent.asked().contains("stream=1&index=7 "));
+    assert_eq!(proxy.client().ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
+}
+
 #[test]
 fn sigterm_answers_what_was_taken_serves_newcomers_for_a_while_and_exits_with_0() {
     let (answer_now, may_answer) = std::sync::mpsc::channel::<()>();
@@ -517,6 +541,8 @@
         ("1f", "xyz", "seed"),
         ("\"settings\"", "\"setings\"", "settings"),
         ("retryable", "repeatable", "effect"),
+        ("\"balancers\":1,", "", "balancers"),
+        ("\"balancers\":1,", "\"balancers\":-1,", "balancers"),
         ("\"seed\"", "\"limits\":{\"sockets\":9},\"seed\"", "limits.sockets"),
         ("\"seed\"", "\"limits\":{\"memory_mb\":9},\"seed\"", "limits.memory_mb"),
         ("\"seed\"", "\"linger_ms\":60001,\"seed\"", "linger_ms"),
