Open the watch at once after a whole list was fetched

Found on reading the whole change again: the fetch of a whole list is over within a second, so src/net/discovery.rs took it for no watch that held, that is for a refusal. A whole list that was taken now counts as success.

No story plays it yet: the stand-in agent cannot end a whole list (on the open list).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -110,13 +110,20 @@
         let watch = async {
             Timer::after(wait).await;
             let mut accepted = None;
-            if let Err(what) = session(agent, &mut index, &mut accepted, core, hosts).await {
+            let whole = index.is_none();
+            let ended = session(agent, &mut index, &mut accepted, core, hosts).await;
+            if let Err(what) = &ended {
                 warn!(target: "discovery", "{what}");
             }
             // A watch that held for a while is reopened soon: what drains meanwhile counts as told. A refusal is
             // not hammered, and one that was long in coming is no watch that held.
             let held = accepted.is_some_and(|at: Instant| at.elapsed() > HELD);
-            wait = if held { backoff.soon() } else { backoff.failed() };
+            // Guards against a proxy that has the whole list, and waits a turn before it watches.
+            wait = if held || (whole && ended.is_ok() && index.is_some()) {
+                backoff.soon()
+            } else {
+                backoff.failed()
+            };
             None
         };
         // Guards against a move that waits for the end of a try at an agent that is silent.
