Serve quotas of tenants first, and leave current members to bounded reads that wait

A probe that printed what each router holds to be current: with the log applied late 1 or 2 of 5 members are inside the bound, lookups and writes are held, and reads of any data still fill those members and the primary. At fault: Arrival knew no tenant (the adapter read the owner and dropped it); route gave reads of any data every member alike.

Change: what lies beyond a tenant's quota counts over_quota_worth in the order of held requests; a router's part of a quota is its part of what all are asked, told between routers, else an even part. While bounded reads wait, or did 300 ms ago, reads of any data go to members outside the bound. A peer's word is a hint now: its positions count as lags, never as known positions, its primary is asked first.

--- /dev/null
+++ b/crates/talk/src/message.rs
@@ -0,0 +1,130 @@
+//! The form of a datagram: a version, who sends it and in what order, items, and a checksum. Numbers are varints
+//! (postcard). Hosts go by what all proxies share, a hash of their names, since each proxy numbers them by itself.
+
+use serde::{Deserialize, Serialize};
+
+/// The longest datagram, in bytes.
+pub const MOST: usize = 256;
+/// The form of this version. One that is not known is refused whole: nothing is guessed.
+pub const VERSION: u8 = 1;
+/// Bytes of the checksum, at the end.
+const SUM: usize = 4;
+
+/// Something that one proxy tells the others.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Item {
+    /// How far a host had applied the log, in Unix milliseconds, and whether it called itself the primary.
+    Stands {
+        /// What all proxies call the host.
+        host: u32,
+        /// Unix milliseconds.
+        position_ms: u64,
+        /// Whether it took writes then.
+        primary: bool,
+    },
+    /// What the sender is asked for by a tenant.
+    Asked {
+        /// The tenant, as the settings number it.
+        tenant: u16,
+        /// Tenths of a request in a second.
+        tenths_per_s: u32,
+    },
+}
+
+/// Who sends, and where in its order a datagram stands.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sender {
+    /// Its number in the fleet.
+    pub ordinal: u16,
+    /// When its process started, in Unix milliseconds: a later one is another.
+    pub incarnation: u64,
+    /// Counts its datagrams.
+    pub number: u32,
+}
+
+/// A whole datagram, read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Message {
+    /// Whose it is.
+    pub sender: Sender,
+    /// What it says.
+    pub items: Vec<Item>,
+}
+
+/// Why a datagram cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unreadable {
+    /// Too short, too long, or its checksum is another.
+    Damaged,
+    /// Of a version that is not known here.
+    Version(u8),
+    /// The checksum fits, and what it covers makes no sense.
+    Nonsense,
+}
+
+/// Bytes to be sent: never more than `MOST`, since only this module makes them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Datagram {
+    bytes: [u8; MOST],
+    len: usize,
+}
+
+impl Datagram {
+    /// As many of the items as fit, from the first on, and how many those are.
+    pub fn pack(sender: Sender, items: &[Item]) -> (Datagram, usize) {
+        let mut d = Datagram { bytes: [0; MOST], len: 1 };
+        d.bytes[0] = VERSION;
+        d.put(&sender);
+        let packed = items.iter().take_while(|item| d.put(item)).count();
+        let sum = crc32fast::hash(&d.bytes[..d.len]).to_le_bytes();
+        d.bytes[d.len..d.len + SUM].copy_from_slice(&sum);
+        d.len += SUM;
+        (d, packed)
+    }
+
+    /// Appends a value whole, if there is room for it and the checksum.
+    fn put(&mut self, value: &impl Serialize) -> bool {
+        match postcard::to_slice(value, &mut self.bytes[self.len..MOST - SUM]) {
+            Ok(put) => {
+                self.len += put.len();
+                true
+            }
+            Err(_) => {
+                // What was begun is no part of it.
+                self.bytes[self.len..].fill(0);
+                false
+            }
+        }
+    }
+
+    /// The bytes.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes[..self.len]
+    }
+}
+
+impl Message {
+    /// Reads a datagram; one that is not whole, or of another version, says nothing at all.
+    pub fn read(bytes: &[u8]) -> Result<Message, Unreadable> {
+        if bytes.len() > MOST {
+            return Err(Unreadable::Damaged);
+        }
+        let (body, sum) = bytes.split_last_chunk::<SUM>().ok_or(Unreadable::Damaged)?;
+        if crc32fast::hash(body) != u32::from_le_bytes(*sum) {
+            return Err(Unreadable::Damaged);
+        }
+        let (version, body) = body.split_first().ok_or(Unreadable::Damaged)?;
+        if *version != VERSION {
+            return Err(Unreadable::Version(*version));
+        }
+        let (sender, mut rest) = postcard::take_from_bytes(body).map_err(|_| Unreadable::Nonsense)?;
+        let mut items = Vec::new();
+        while !rest.is_empty() {
+            let (item, left) = postcard::take_from_bytes(rest).map_err(|_| Unreadable::Nonsense)?;
+            // Every item takes a byte at least, so this ends.
+            items.push(item);
+            rest = left;
+        }
+        Ok(Message { sender, items })
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -70,6 +70,16 @@
     pub aim_stretch: f64,
 }
 
+impl Class {
+    /// How old its data may be, where that is bounded.
+    pub fn bound(&self) -> Option<Micros> {
+        match self.need {
+            Need::Bounded(bound) => Some(bound),
+            _ => None,
+        }
+    }
+}
+
 /// What a replica does with a read for which it lags too far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LagCheck {
@@ -175,6 +185,10 @@
     pub limits: Limits,
     /// Figures of the rules.
     pub safety: Safety,
+    /// What each tenant may send to all routers together, in requests a second; empty where there are none.
+    pub quotas: Vec<f64>,
+    /// What a request beyond its tenant's quota is worth, as a share of its class's worth.
+    pub over_quota_worth: f64,
 }
 
 /// A server's state in the list.
@@ -294,6 +308,8 @@
     pub plain: bool,
     /// What an attempt at it is expected to take; 0 where only its class tells.
     pub expected: Micros,
+    /// Whose it is, an index into the quotas, where known.
+    pub tenant: Option<u16>,
 }
 
 /// The end of an attempt.
@@ -356,8 +372,8 @@
     Peer {
         /// The sender's number.
         from: u16,
-        /// What it sent.
-        bytes: Vec<u8>,
+        /// What it says.
+        news: Vec<News>,
     },
     /// News of the list.
     List {
@@ -368,6 +384,27 @@
     },
 }
 
+/// What routers tell each other.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum News {
+    /// How far a server had applied the log when it last said so, and whether it was the primary.
+    Stands {
+        /// The server.
+        server: ServerId,
+        /// Its position.
+        position: Micros,
+        /// Whether it called itself the primary.
+        primary: bool,
+    },
+    /// What a tenant asks the sender for.
+    Asked {
+        /// The tenant, an index into the quotas.
+        tenant: u16,
+        /// Requests in a second.
+        per_s: f64,
+    },
+}
+
 /// What to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -402,8 +439,8 @@
     Probe(ServerId),
     /// Close the idle connections to a server.
     CloseIdle(ServerId),
-    /// Message every other router, at most 256 bytes.
-    TellAll(Vec<u8>),
+    /// Message every other router: as much of this as a message holds.
+    TellAll(Vec<News>),
     /// Subscribe to list changes.
     Subscribe,
     /// A line for whoever is on call.
--- a/src/bin/sillfold-benchlink/main.rs
+++ b/src/bin/sillfold-benchlink/main.rs
@@ -4,7 +4,9 @@
 mod wire;
 
 use sillfold::settings::{self, Dialect};
+use sillfold::talk;
 use sillfold::{Action, Arrival, Entry, Event, ListKind, Listed, Outcome, Report, Returned, Role, Router};
+use sillfold_talk::{Datagram, Item, Message, Sender};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
 use std::process::ExitCode;
@@ -157,7 +159,7 @@
         3 => {
             let id = c.u32("WORK_ITEM.ticket")?;
             let class = c.u8("WORK_ITEM.lane")?;
-            c.u32("WORK_ITEM.owner")?;
+            let tenant = u16::try_from(c.u32("WORK_ITEM.owner")?).ok();
             let session = c.u64("WORK_ITEM.user")?;
             let give_up_at = c.u64("WORK_ITEM.giveUpAtUs")?;
             c.u32("WORK_ITEM.costUs")?;
@@ -175,6 +177,7 @@
                 group: group as u32,
                 token_ms,
                 again,
+                tenant,
                 ..Arrival::default()
             })
         }
@@ -205,7 +208,11 @@
         9 => {
             let from = c.u16("HEARD.neighbour")?;
             let n = usize::from(c.u16("HEARD.bytes length")?);
-            Event::Peer { from, bytes: c.take(n, "HEARD.bytes")?.to_vec() }
+            // What cannot be read says nothing.
+            let said = Message::read(c.take(n, "HEARD.bytes")?);
+            let news = said
+                .map_or(Vec::new(), |m| m.items.into_iter().filter_map(|i| talk::news(i, Some)).collect());
+            Event::Peer { from, news }
         }
         other => return Err(WireError(format!("unknown record code {other}"))),
     })
@@ -278,8 +285,11 @@
         Action::CloseIdle(server) => {
             reply.record(7, who).u32(server);
         }
-        Action::TellAll(bytes) => {
-            reply.record(8, who).u32(u32::MAX).blob(&bytes);
+        Action::TellAll(news) => {
+            // Here all instances have the same numbers for hosts.
+            let items: Vec<Item> = news.into_iter().filter_map(|n| talk::item(n, Some)).collect();
+            let (datagram, _) = Datagram::pack(Sender { ordinal: 0, incarnation: 0, number: 0 }, &items);
+            reply.record(8, who).u32(u32::MAX).blob(datagram.bytes());
         }
         Action::Subscribe => {
             reply.record(11, who).u8(1);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,8 @@
 //!         drain_grace: 1_000_000, only_draining_binds: false, start_capacity: 0.2,
 //!         cold: 10_000_000, tip_multiple: 3.0, overload_for: 2_000_000, ask_within: 10_000_000,
 //!     },
+//!     quotas: vec![],
+//!     over_quota_worth: 1.0,
 //! };
 //! let mut router = Router::new(settings, 7);
 //! let entry = Entry {
@@ -56,6 +58,8 @@
 pub mod operator;
 #[doc(hidden)]
 pub mod pg;
+#[doc(hidden)]
+pub mod talk;
 
 pub use api::*;
 pub use logic::Router;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -110,6 +110,8 @@
 const DARK_FOR: Micros = 4_000_000;
 /// Known positions are kept fresh for so long after a plain request.
 const PLAIN_FOR: Micros = 5_000_000;
+/// While a bounded read was held so lately, members inside the bound are left to such.
+const SHORT_FOR: Micros = 300_000;
 /// Sessions remembered; past it the oldest fold into a floor that binds every session.
 const SESSIONS: usize = 50_000;
 
@@ -130,6 +132,9 @@
     classes: Vec<ClassState>,
     requests: BTreeMap<RequestId, Request>,
     sessions: Sessions,
+    shares: Shares,
+    /// The tightest bound of any class.
+    tightest: Micros,
     /// Servers that operators leave out, and since when; no news of the list touches it.
     out_by_hand: BTreeMap<ServerId, Micros>,
     mean: f64,
@@ -163,6 +168,8 @@
             groups: BTreeMap::new(),
             requests: BTreeMap::new(),
             sessions: Sessions::default(),
+            shares: Shares::new(&settings.quotas, settings.routers),
+            tightest: settings.classes.iter().filter_map(Class::bound).min().unwrap_or(Micros::MAX),
             out_by_hand: BTreeMap::new(),
             mean: 0.0,
             tokens: RETRY_MAX,
@@ -208,7 +215,7 @@
                 }
                 Event::Timer(_) => {}
                 Event::ByHand { server, out, since } => self.by_hand(*server, *out, *since),
-                Event::Peer { bytes, .. } => self.heard(bytes),
+                Event::Peer { from, news } => self.heard(*from, news),
                 Event::List { kind, entries } => self.list(*kind, entries),
             }
         }
@@ -283,10 +290,7 @@
 
     /// How many servers are listed, and how many of them get nothing, or only one attempt to see.
     pub fn hosts(&self) -> (usize, usize) {
-        let listed = || self.servers.iter().filter(|s| s.listed != Listed::Gone);
-        let away =
-            |s: &&Server| s.listed == Listed::Draining || s.strikes > 0 || self.out_since(s.id).is_some();
-        (listed().count(), listed().filter(away).count())
+        count(&self.servers, |s| self.out_since(s.id).is_some())
     }
 
     /// Since when operators leave a server out, if they do.
@@ -303,9 +307,7 @@
         }
         let out = self.out_by_hand.remove(&server);
         let Some(s) = self.index.get(&server).map(|&i| &mut self.servers[i]) else { return };
-        if since.saturating_add(self.set.safety.cold) > self.now {
-            s.used_again(out, since, LIMIT);
-        }
+        s.used_again(out, since, LIMIT, self.now.saturating_sub(self.set.safety.cold));
     }
 
     /// Slow start without sight of the other routers: each request drew a lot, and a cold server is open to
@@ -390,6 +392,7 @@
         let lowest = group.members.iter().filter_map(|&i| self.servers[i].weighed(usual));
         let lowest = lowest.min_by(f64::total_cmp).unwrap_or(L_DEFAULT);
         let long = need == Need::Any && self.is_long(r.class);
+        let short = need == Need::Any && group.short_at + SHORT_FOR > self.now && !r.plain;
         let mut rank = 0;
         // (tier, score): the lowest tier that has a member decides.
         let mut options: Vec<(u32, f64, usize, bool)> = Vec::new();
@@ -410,7 +413,8 @@
                 None if s.proven => 1.0,
                 None => 1.0 + (UNPROVEN - 1.0) * blur,
             };
-            let mut tier = 0;
+            // What any member serves leaves those inside the bound to reads that must have one, while such wait.
+            let mut tier = u32::from(short && (primary == Some(i) || behind <= self.tightest));
             if primary == Some(i) {
                 points *= if long { GATHER.powi(4) } else { PRIMARY_HANDICAP };
             } else if long {
@@ -482,8 +486,9 @@
         }
         let (token, class) = (self.token(a), usize::from(a.class));
         self.plain_until = if a.plain { self.now + PLAIN_FOR } else { self.plain_until };
-        let (arrived, lot) = (self.now, self.rng.rand_float());
-        let r = Request { lot, token, arrived, coming, ..Request::of(a) };
+        let (arrived, lot, beyond) =
+            (self.now, self.rng.rand_float(), self.shares.beyond(a.tenant, self.now));
+        let r = Request { lot, token, arrived, coming, beyond, ..Request::of(a) };
         if self.requests.insert(a.id, r).is_some() {
             return;
         }
@@ -540,7 +545,9 @@
     fn hold(&mut self, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.held = true;
-        self.groups.entry(r.group).or_default().held.push(id);
+        let (g, c) = (self.groups.entry(r.group).or_default(), &self.set.classes[r.class]);
+        g.held.push(id);
+        g.short_at = c.bound().map_or(g.short_at, |_| self.now);
     }
 
     fn send(&mut self, id: RequestId, i: usize) {
@@ -850,7 +857,10 @@
     fn tick(&mut self) {
         if self.now >= self.due.period {
             self.due.period = self.now + PERIOD;
-            self.period();
+            self.probe();
+            self.tell();
+            self.servers.iter_mut().for_each(|s| s.clamp(self.now, LIST_AGE, ALPHA, OLD, self.mean));
+            self.classes.iter_mut().for_each(|c| c.take_median(8));
         }
         // The age of what is out counts in the score before a sample does: a standstill shows at once.
         let scales: Vec<f64> = (0..self.classes.len()).map(|c| self.scale(c)).collect();
@@ -866,21 +876,13 @@
         }
     }
 
-    fn period(&mut self) {
-        self.probe();
-        self.tell();
-        self.servers.iter_mut().for_each(|s| s.clamp(self.now, LIST_AGE, ALPHA, OLD, self.mean));
-        self.classes.iter_mut().for_each(|c| c.take_median(8));
-    }
-
     /// Held requests go out when they can, and get their final answer once they no longer can.
     fn release(&mut self, group: GroupId) {
         let Some(g) = self.groups.get_mut(&group) else { return };
         // Most worth per work first, then the newest: the oldest have too little time left to be served.
         let mut held = std::mem::take(&mut g.held);
-        let value = |id: &RequestId| {
-            self.requests.get(id).map_or(0.0, |r| self.set.classes[r.class].worth / self.usual(r))
-        };
+        let value =
+            |id: &RequestId| self.requests.get(id).map_or(0.0, |r| r.worth(&self.set) / self.usual(r));
         let came = |id: &RequestId| self.requests.get(id).map_or(0, |r| r.arrived);
         held.sort_by(|a, b| value(b).total_cmp(&value(a)).then(came(b).cmp(&came(a))));
         for id in held {
@@ -945,12 +947,7 @@
         if !self.set.limits.probes || self.probes < 1.0 {
             return;
         }
-        let bounds = self.set.classes.iter().filter_map(|c| match c.need {
-            Need::Bounded(bound) => Some(bound),
-            _ => None,
-        });
-        let tightest = bounds.min().unwrap_or(Micros::MAX);
-        let plain = self.now < self.plain_until;
+        let (tightest, plain) = (self.tightest, self.now < self.plain_until);
         let due = |i: &usize| {
             let s = &self.servers[*i];
             let unheard = s.position.is_none() || s.unheard;
@@ -978,25 +975,27 @@
         }
     }
 
-    /// The positions that peers have not been told for longest, as far as own requests pay for them.
+    /// News for the peers, a few at once, as far as own requests pay for them. What heads a message takes two places.
     fn tell(&mut self) {
         let peers = f64::from(self.set.routers.max(1) - 1);
         let room = ((self.chat / peers) as usize).min(256) / LINE;
-        if room == 0 || peers == 0.0 || !self.set.limits.peers {
+        if room < 6 || peers == 0.0 || !self.set.limits.peers {
             return;
         }
-        let bytes = news(&mut self.servers, &self.groups, room);
-        self.chat -= bytes.len() as f64 * peers;
-        self.out.extend((!bytes.is_empty()).then_some(Action::TellAll(bytes)));
+        let news = news(&mut self.servers, &self.groups, &mut self.shares, self.now, room - 2);
+        self.chat -= (news.len() * LINE) as f64 * peers;
+        self.out.extend((!news.is_empty()).then_some(Action::TellAll(news)));
     }
 
-    fn heard(&mut self, bytes: &[u8]) {
-        for (server, at, primary) in lines(bytes) {
-            let Some(&i) = self.index.get(&server) else { continue };
-            // What peers have been told need not be told again.
-            self.servers[i].told_peers = self.servers[i].told_peers.max(at.min(self.now));
-            let role = primary.then_some(Role::Primary);
-            self.report(server, Report { position: Some(at), role, in_flight: None }, false);
+    fn heard(&mut self, from: u16, news: &[News]) {
+        for n in news {
+            match *n {
+                News::Asked { tenant, per_s } => self.shares.told(from, tenant, per_s, self.now),
+                News::Stands { server, position, primary } => {
+                    let Some(&i) = self.index.get(&server) else { continue };
+                    told(&mut self.servers, &mut self.groups, i, (position, primary), self.now, PROBE_GAP);
+                }
+            }
         }
     }
 }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -364,6 +364,7 @@
                 None => statement.after_ms.map(Clock::from_unix_ms),
             },
             again: statement.again,
+            tenant: statement.tenant.as_deref().and_then(|t| core.tenant(t)),
             // A write whose comment names no key is never repeated either.
             plain: plain.is_some() || !statement.keyed && core.is_keyed(class),
             expected: plain.as_ref().map_or(0, |p| p.expected),
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -96,6 +96,8 @@
     pub after: Option<Micros>,
     /// The client marks it as a repeat of its own.
     pub again: bool,
+    /// Whose it is, where known.
+    pub tenant: Option<u16>,
     /// Servers know nothing of its terms.
     pub plain: bool,
     /// What an attempt is expected to take; 0 where only the class tells.
@@ -323,6 +325,11 @@
         }
     }
 
+    /// The number of a tenant that the settings name.
+    pub fn tenant(&self, name: &str) -> Option<u16> {
+        self.dialect.tenants.iter().position(|t| t == name).and_then(|n| u16::try_from(n).ok())
+    }
+
     /// Whether any list has named this group.
     pub fn knows_group(&self, group: GroupId) -> bool {
         self.inner.borrow().groups.contains(&group)
@@ -378,6 +385,7 @@
             group: call.group,
             token_ms: age,
             again: call.again,
+            tenant: call.tenant,
             plain: call.plain,
             expected: call.expected,
         };
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -706,6 +706,8 @@
     pub after_ms: Option<u64>,
     /// The client marks it as a repeat of its own.
     pub again: bool,
+    /// Whose it is, where the comment says so.
+    pub tenant: Option<String>,
 }
 
 impl Statement {
@@ -715,7 +717,7 @@
         let open = text[lead..].strip_prefix("/*").ok_or("no comment leads the statement")?;
         let end = open.find("*/").ok_or("the comment is not closed")?;
         let (mut id, mut class, mut patience, mut group, mut after) = (None, None, None, None, None);
-        let (mut keyed, mut again) = (false, false);
+        let (mut keyed, mut again, mut tenant) = (false, false, None);
         let mut at = lead + 2;
         for part in open[..end].split(',') {
             let (name, value) = part.split_once('=').ok_or(format!("the comment holds {part:?}"))?;
@@ -736,6 +738,7 @@
                 "after" => after = Some(number()?),
                 "k" => keyed = !value.is_empty(),
                 "r" => again = value == "1",
+                "t" => tenant = Some(value.to_string()),
                 _ => {}
             }
             at += part.len() + 1;
@@ -750,6 +753,7 @@
             d_at: Some(d_at),
             keyed,
             again,
+            tenant,
             text,
         })
     }
@@ -758,7 +762,18 @@
     pub fn plain(text: String, patience_ms: u64, group: u32) -> Statement {
         let (id, class) = Default::default();
         let (keyed, again) = (false, false);
-        Statement { text, d_at: None, keyed, id, class, patience_ms, group, after_ms: None, again }
+        Statement {
+            text,
+            d_at: None,
+            keyed,
+            id,
+            class,
+            patience_ms,
+            group,
+            after_ms: None,
+            again,
+            tenant: None,
+        }
     }
 
     /// Whether no comment names its terms.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -40,6 +40,21 @@
     azs: Vec<String>,
     #[serde(default)]
     host_types: Vec<String>,
+    #[serde(default)]
+    tenants: Vec<TenantConf>,
+    #[serde(default = "all_of_it")]
+    over_share_worth: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TenantConf {
+    name: String,
+    quota_rps: f64,
+}
+
+fn all_of_it() -> f64 {
+    1.0
 }
 
 #[derive(Default, Deserialize)]
@@ -146,6 +161,8 @@
     pub fields: Vec<String>,
     /// Names of the classes, by the module's index.
     pub classes: Vec<String>,
+    /// Names of the tenants, by the module's index.
+    pub tenants: Vec<String>,
     /// Names of the zones, by index.
     pub zones: Vec<String>,
     /// Names of the machine types, by index.
@@ -213,6 +230,12 @@
             aim_stretch: c.aim_stretch,
         });
     }
+    if let Some(t) = conf.tenants.iter().find(|t| !(0.0..1e12).contains(&t.quota_rps)) {
+        return Err(SettingsError(format!("settings: tenants: quotaRps of {:?}: {}", t.name, t.quota_rps)));
+    }
+    if !(0.0..=1.0).contains(&conf.over_share_worth) {
+        return Err(SettingsError(format!("settings: overShareWorth: {}", conf.over_share_worth)));
+    }
     let s = &conf.safety;
     let l = &conf.ceilings;
     let field = |name: &str| conf.load_info.fields.iter().position(|f| f == name);
@@ -223,6 +246,7 @@
         in_flight: field("inflight"),
         fields: conf.load_info.fields.clone(),
         classes: conf.classes.iter().map(|c| c.name.clone()).collect(),
+        tenants: conf.tenants.iter().map(|t| t.name.clone()).collect(),
         zones: conf.azs.clone(),
         kinds: conf.host_types.clone(),
         dial_timeout_us: l.dial_timeout_us as u64,
@@ -276,6 +300,8 @@
             overload_for: s.overload_for_us as u64,
             ask_within: s.ask_within_us as u64,
         },
+        quotas: conf.tenants.iter().map(|t| t.quota_rps).collect(),
+        over_quota_worth: conf.over_share_worth,
     };
     Ok((settings, dialect))
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,8 @@
-//! Plain records that `logic.rs` keeps, and the bytes of peer messages. Nothing is decided here.
+//! Plain records that `logic.rs` keeps, and what they take in. Nothing is chosen here.
 
-use crate::api::{Arrival, Class, Entry, GroupId, Listed, Micros, Outcome, RequestId, Safety, ServerId};
+use crate::api::{
+    Arrival, Class, Entry, GroupId, Listed, Micros, News, Outcome, RequestId, Safety, ServerId, Settings,
+};
 use std::collections::{BTreeMap, VecDeque};
 
 /// What this router knows of one server.
@@ -175,8 +177,11 @@
     /// As after a restart, with nothing left of what held it back. Guards against a server that comes
     /// back from the operators' hands and stays unused for what its earlier process showed.
     /// It was out since the first time and is used since the second; where the list tells a start between,
-    /// that counts.
-    pub fn used_again(&mut self, out: Option<Micros>, since: Micros, limit: f64) {
+    /// that counts. Back since before this time, it is warm for long.
+    pub fn used_again(&mut self, out: Option<Micros>, since: Micros, limit: f64, before: Micros) {
+        if since <= before {
+            return;
+        }
         let known = out.is_some_and(|out| out < self.listed_start && self.listed_start < since);
         self.restarted(if known { self.listed_start } else { since });
         (self.strikes, self.refusals, self.limit, self.late) = (0, 0, limit, 0.0);
@@ -184,6 +189,13 @@
     }
 }
 
+/// How many servers are listed, and how many of them drain, answer no connections, or are left out.
+pub(crate) fn count(servers: &[Server], out: impl Fn(&Server) -> bool) -> (usize, usize) {
+    let listed = || servers.iter().filter(|s| s.listed != Listed::Gone);
+    let away = |s: &&Server| s.listed == Listed::Draining || s.strikes > 0 || out(s);
+    (listed().count(), listed().filter(away).count())
+}
+
 /// Appends to a list that keeps the newest `most`.
 pub(crate) fn push<T>(list: &mut VecDeque<T>, value: T, most: usize) {
     if list.len() >= most {
@@ -238,6 +250,8 @@
     pub scout_at: Micros,
     /// Reads that came to nothing here.
     pub jam: Tally,
+    /// When a bounded read last had to wait here.
+    pub short_at: Micros,
 }
 
 /// Counts of reads that halve with time: those without an answer in time or turned away for want of room, those
@@ -291,6 +305,89 @@
     (usual, apart / seen.len().max(1) as f64)
 }
 
+/// What tenants ask for of late, and what is left of their quotas. All routers serve one quota: the part of
+/// this one is its part of what they are asked, as far as they tell each other; else all count alike.
+#[derive(Default)]
+pub(crate) struct Shares {
+    routers: f64,
+    tenants: Vec<Share>,
+    /// What other routers were asked last, in requests a second, and when they said so.
+    others: BTreeMap<u16, (Micros, Vec<f64>)>,
+    /// When the others were last told what this one is asked.
+    told_at: Micros,
+}
+
+/// One tenant.
+#[derive(Clone, Copy)]
+struct Share {
+    quota: f64,
+    /// Requests that halve with time, as of `at`.
+    asked: f64,
+    /// What may come at once, in requests.
+    left: f64,
+    at: Micros,
+}
+
+/// What was asked counts half as much after this long.
+const ASKED_HALF: f64 = 2_000_000.0;
+/// What may come at once of a quota, in seconds of it.
+const AT_ONCE: f64 = 0.2;
+/// The others are told this often, and what one was asked counts for so long.
+const TELL_EVERY: Micros = 500_000;
+const TOLD_FOR: Micros = 3_000_000;
+
+impl Shares {
+    pub fn new(quotas: &[f64], routers: u32) -> Shares {
+        let share = |&quota: &f64| Share { quota, asked: 0.0, left: 0.0, at: 0 };
+        let routers = f64::from(routers.max(1));
+        Shares { routers, tenants: quotas.iter().map(share).collect(), ..Shares::default() }
+    }
+
+    /// Counts one more request of a tenant; whether it lies beyond the quota, of which a moment's worth may
+    /// come at once. What no quota binds never does.
+    pub fn beyond(&mut self, tenant: Option<u16>, now: Micros) -> bool {
+        let Some(t) = tenant.map(usize::from).filter(|&t| t < self.tenants.len()) else { return false };
+        let own = self.tenants[t].rate(now);
+        let fresh = self.others.values().filter(|o| o.0 + TOLD_FOR > now);
+        let (heard, others) = fresh.fold((0, 0.0), |s, o| (s.0 + 1, s.1 + o.1.get(t).unwrap_or(&0.0)));
+        let share = &mut self.tenants[t];
+        let part = if heard > 0 { own / (own + others).max(1e-9) } else { 1.0 / self.routers };
+        let (mine, idle) = (share.quota * part, now.saturating_sub(share.at) as f64);
+        share.asked = share.asked * (-idle / ASKED_HALF).exp2() + 1.0;
+        share.left = (share.left + mine * idle / 1e6).min((mine * AT_ONCE).max(1.0));
+        share.at = now;
+        let beyond = share.left < 1.0;
+        share.left -= f64::from(!beyond);
+        beyond
+    }
+
+    /// What each tenant asks this router for, where it is time to tell the others.
+    pub fn news(&mut self, now: Micros) -> Vec<News> {
+        if now < self.told_at + TELL_EVERY {
+            return Vec::new();
+        }
+        self.told_at = now;
+        (0..).zip(&self.tenants).map(|(tenant, t)| News::Asked { tenant, per_s: t.rate(now) }).collect()
+    }
+
+    /// Another router was asked for so much.
+    pub fn told(&mut self, from: u16, tenant: u16, per_s: f64, now: Micros) {
+        let (t, n) = (usize::from(tenant), self.tenants.len());
+        if t < n && per_s.is_finite() && per_s >= 0.0 {
+            let other = self.others.entry(from).or_insert_with(|| (now, vec![0.0; n]));
+            other.0 = now;
+            other.1[t] = per_s;
+        }
+    }
+}
+
+impl Share {
+    fn rate(&self, now: Micros) -> f64 {
+        let idle = now.saturating_sub(self.at) as f64;
+        self.asked * (-idle / ASKED_HALF).exp2() * std::f64::consts::LN_2 / ASKED_HALF * 1e6
+    }
+}
+
 /// When things are next due.
 #[derive(Default)]
 pub(crate) struct Due {
@@ -369,6 +466,8 @@
     /// The attempt whose answer has begun to stream.
     pub streaming: Option<usize>,
     pub closed: bool,
+    /// It lies beyond its tenant's quota.
+    pub beyond: bool,
 }
 
 impl Request {
@@ -389,6 +488,10 @@
     pub fn outstanding(&self) -> usize {
         self.attempts.iter().filter(|a| a.outcome.is_none()).count()
     }
+    /// What an answer in time is worth.
+    pub fn worth(&self, set: &Settings) -> f64 {
+        set.classes[self.class].worth * if self.beyond { set.over_quota_worth } else { 1.0 }
+    }
     /// Until when an answer is worth anything.
     pub fn useful_until(&self, c: &Class) -> Micros {
         if c.aim_stretch <= 0.0 && (c.late_worth <= 0.0 || (self.held && c.late_worth < 0.5)) {
@@ -438,39 +541,52 @@
     }
 }
 
-/// Bytes of one line of a peer message.
+/// Bytes that one piece of news takes in a message.
 pub(crate) const LINE: usize = 13;
 
-/// Appends a server's position, and whether it is held to be primary.
-pub(crate) fn put_line(bytes: &mut Vec<u8>, server: ServerId, position: Micros, primary: bool) {
-    bytes.extend_from_slice(&server.to_le_bytes());
-    bytes.extend_from_slice(&position.to_le_bytes());
-    bytes.push(u8::from(primary));
-}
-
-/// The lines of a peer message; bytes that make no whole line are dropped.
-pub(crate) fn lines(bytes: &[u8]) -> impl Iterator<Item = (ServerId, Micros, bool)> + '_ {
-    bytes.chunks_exact(LINE).map(|part| {
-        let (mut id, mut at) = ([0; 4], [0; 8]);
-        id.copy_from_slice(&part[..4]);
-        at.copy_from_slice(&part[4..12]);
-        (ServerId::from_le_bytes(id), Micros::from_le_bytes(at), part[12] == 1)
-    })
-}
-
-/// The positions that peers have not been told for longest, as a message of so many lines.
-pub(crate) fn news(servers: &mut [Server], groups: &BTreeMap<GroupId, Group>, room: usize) -> Vec<u8> {
+/// What there is to tell the peers, so many pieces: what tenants ask for now and then, and the positions that they have
+/// not been told for longest.
+pub(crate) fn news(
+    servers: &mut [Server], groups: &BTreeMap<GroupId, Group>, shares: &mut Shares, now: Micros, room: usize,
+) -> Vec<News> {
+    let mut news = shares.news(now);
     let fresh = |i: &usize| servers[*i].position > Some(servers[*i].told_peers);
     let mut untold: Vec<usize> = (0..servers.len()).filter(fresh).collect();
     untold.sort_by_key(|&i| servers[i].told_peers);
-    let mut bytes = Vec::new();
-    for i in untold.into_iter().take(room) {
+    for i in untold.into_iter().take(room.saturating_sub(news.len())) {
         let s = &mut servers[i];
         s.told_peers = s.position.unwrap_or(0);
         let primary = groups.get(&s.group).is_some_and(|g| g.primary == Some(i));
-        put_line(&mut bytes, s.id, s.told_peers, primary);
+        news.push(News::Stands { server: s.id, position: s.told_peers, primary });
+    }
+    news
+}
+
+/// Takes in what a peer says of a server. Its word loosens nothing: the position counts as a lag, which servers that
+/// check make good where it is wrong, and never as a position known; a primary is one to ask first. The one that is
+/// held for it is dropped only where that left something unanswered since: one word ousts nobody.
+pub(crate) fn told(
+    servers: &mut [Server], groups: &mut BTreeMap<GroupId, Group>, i: usize, (at, primary): (Micros, bool),
+    now: Micros, later: Micros,
+) {
+    if at > now {
+        // Ahead of the clock, it is no position.
+        return;
+    }
+    let s = &mut servers[i];
+    if s.position.max(Some(s.told_peers)) < Some(at) {
+        s.lag = s.lag.clamp((now - at).saturating_sub(later), now - at);
+        (s.heard_at, s.unheard) = (now, false);
+    }
+    s.told_peers = s.told_peers.max(at);
+    if let Some(g) = groups.get_mut(&s.group)
+        && primary
+        && at > g.primary_at
+        && g.primary != Some(i)
+    {
+        g.hint = Some(i);
+        g.primary = g.primary.filter(|&p| servers[p].silent_at == 0);
     }
-    bytes
 }
 
 /// A request whose bytes were still coming is whole: its time begins, and its attempt is one in hand.
@@ -540,3 +656,43 @@
     members.push(i);
     members.sort_by_key(|&m| servers[m].id);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What the others are asked for tells a router's part of a quota of 100 a second, of which four routers that do not
+    /// talk have a quarter each.
+    #[test]
+    fn a_routers_part_of_a_quota_is_its_part_of_what_all_are_asked() {
+        let beyond = |others: Option<f64>| {
+            let mut shares = Shares::new(&[100.0], 4);
+            // 90 a second for five seconds; the last second's tell.
+            let asks = (0..450u64).map(|n| {
+                let now = 1_000_000 + n * 11_111;
+                if let Some(per_s) = others.filter(|_| n % 45 == 0) {
+                    shares.told(2, 0, per_s, now);
+                }
+                (n, shares.beyond(Some(0), now))
+            });
+            asks.filter(|&(n, beyond)| n >= 360 && beyond).count()
+        };
+        let [alone, small, large] = [None, Some(10.0), Some(90.0)].map(beyond);
+        assert!((60..=70).contains(&alone), "{alone}");
+        assert!(small <= 4, "{small}");
+        assert!((34..=46).contains(&large), "{large}");
+    }
+
+    /// What was told long ago, or makes no sense, counts no more.
+    #[test]
+    fn old_and_senseless_words_count_nothing() {
+        let mut shares = Shares::new(&[100.0], 4);
+        shares.told(2, 0, 1e9, 1_000_000);
+        shares.told(3, 0, f64::NAN, 9_000_000);
+        shares.told(4, 0, -5.0, 9_000_000);
+        shares.told(5, 7, 5.0, 9_000_000);
+        let beyond = (0..5).filter(|_| shares.beyond(Some(0), 9_000_000)).count();
+        assert!(beyond == 0, "{beyond} of a fifth of a second's worth of 25 a second");
+        assert!(!shares.beyond(None, 9_000_000) && !shares.beyond(Some(9), 9_000_000));
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -69,6 +69,8 @@
             overload_for: 1_000 * MS,
             ask_within: 10_000 * MS,
         },
+        quotas: Vec::new(),
+        over_quota_worth: 1.0,
     }
 }
 
