Judge answers that are too old inside the module's interface, not in the core

It reads only the settings and an answer's note, so it needs no state of the router.

Change: Settings::is_stale in api.rs, pure, with a test of its own (bounds to the millisecond, a primary's answer, marks, members that check, classes that nobody knows); the core only asks it.

--- a/src/api.rs
+++ b/src/api.rs
@@ -191,6 +191,24 @@
     pub over_quota_worth: f64,
 }
 
+impl Settings {
+    /// Whether an answer to what was sent at this time says itself that it is older than the read may be: it counts as
+    /// turned away. Guards against a primary that handed over, and is read from as one until its role is heard of. Only
+    /// where servers do not check and answers tell positions; a primary stands at the present.
+    pub fn is_stale(&self, class: u8, token: Option<Micros>, note: &Report, sent: Micros) -> bool {
+        let tells = self.lag_check == LagCheck::Unchecked && self.positions;
+        let told = note.position.filter(|_| tells && note.role == Some(Role::Replica));
+        let (Some(position), Some(class)) = (told, self.classes.get(usize::from(class))) else {
+            return false;
+        };
+        match class.need {
+            Need::Bounded(bound) => position.saturating_add(bound) < sent,
+            Need::Session => token.is_some_and(|token| position < token),
+            Need::Any | Need::Fresh | Need::Write => false,
+        }
+    }
+}
+
 /// A server's state in the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Listed {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -10,8 +10,8 @@
 use crate::settings::Dialect;
 use crate::talk;
 use crate::{
-    Action, Arrival, Effect, Entry, Event, GroupId, LagCheck, ListKind, Listed, Micros, Need, Outcome,
-    Report, RequestId, Returned, Role, Router, ServerId, Settings,
+    Action, Arrival, Effect, Entry, Event, GroupId, ListKind, Listed, Micros, Need, Outcome, Report,
+    RequestId, Returned, Role, Router, ServerId, Settings,
 };
 use async_channel::{Receiver, Sender, TryRecvError, unbounded};
 use futures_lite::future;
@@ -177,8 +177,7 @@
     inner: RefCell<Inner>,
     /// Whether each class drops repeats by a key.
     keyed: Vec<bool>,
-    /// What each class needs, where hosts serve what is too old and their answers tell so.
-    needs: Option<Vec<Need>>,
+    settings: Settings,
     kept: Micros,
     /// For how long discovery may be silent before the list of before will have to do.
     silent: Duration,
@@ -207,12 +206,10 @@
         let silent = if backoff::takes_turns(settings.routers) { Duration::ZERO } else { SILENT };
         let kept = settings.safety.cold.saturating_mul(KEPT_COLD);
         let keyed = settings.classes.iter().map(|c| matches!(c.effect, Effect::Keyed(..))).collect();
-        let tells = settings.lag_check == LagCheck::Unchecked && settings.positions;
-        let needs = tells.then(|| settings.classes.iter().map(|c| c.need).collect());
         let worth = |c: &crate::Class| HeadroomClass { worth: c.worth, writes: c.need == Need::Write };
         let worths = settings.classes.iter().map(worth).collect();
         let inner = Inner {
-            router: Router::new(settings, seed),
+            router: Router::new(settings.clone(), seed),
             actions: Vec::new(),
             open: BTreeMap::new(),
             last_id: 0,
@@ -230,7 +227,7 @@
             retry_in,
             inner: RefCell::new(inner),
             keyed,
-            needs,
+            settings,
             kept,
             silent,
             timer_set: async_channel::bounded(1),
@@ -322,21 +319,9 @@
         self.keyed.get(usize::from(class)).copied().unwrap_or(false)
     }
 
-    /// Whether an answer to what was sent at this time says itself that it is older than the read may be. Guards
-    /// against a primary that handed over, and is read from as one until its role is heard of.
+    /// Whether the module counts this answer as turned away for its age.
     pub fn is_stale(&self, call: &Call, note: &Report, sent: Micros) -> bool {
-        let Some(need) = self.needs.as_ref().and_then(|n| n.get(usize::from(call.class))) else {
-            return false;
-        };
-        let Some(position) = note.position.filter(|_| note.role == Some(Role::Replica)) else { return false };
-        if mutants::on("stale answers pass") {
-            return false;
-        }
-        match need {
-            Need::Bounded(bound) => position.saturating_add(*bound) < sent,
-            Need::Session => call.after.is_some_and(|after| position < after),
-            Need::Any | Need::Fresh | Need::Write => false,
-        }
+        !mutants::on("stale answers pass") && self.settings.is_stale(call.class, call.after, note, sent)
     }
 
     /// The number of a tenant that the settings name.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1111,6 +1111,24 @@
     }
 }
 
+/// An answer that tells of itself that it is too old goes to no client, where nothing else would have kept it back.
+#[test]
+fn an_answer_that_says_it_is_too_old_counts_as_turned_away() {
+    let mut set = settings();
+    (set.lag_check, set.positions) = (LagCheck::Unchecked, true);
+    set.classes[0].need = Need::Bounded(800 * MS);
+    set.classes[1].need = Need::Session;
+    let note = |behind, role| Report { position: Some(T0 - behind), role: Some(role), in_flight: None };
+    let (replica, primary) = (note(900 * MS, Role::Replica), note(900 * MS, Role::Primary));
+    assert!(set.is_stale(0, None, &replica, T0) && !set.is_stale(0, None, &replica, T0 - 100 * MS));
+    assert!(!set.is_stale(0, None, &primary, T0), "a primary stands at the present");
+    assert!(set.is_stale(1, Some(T0 - 800 * MS), &replica, T0));
+    assert!(!set.is_stale(1, Some(T0 - 900 * MS), &replica, T0) && !set.is_stale(1, None, &replica, T0));
+    assert!(!set.is_stale(99, None, &replica, T0) && !set.is_stale(0, None, &Report::default(), T0));
+    set.lag_check = LagCheck::Refuse;
+    assert!(!set.is_stale(0, None, &replica, T0), "members that check have done so");
+}
+
 /// Connections fall silent now and then: what was sent later is answered in a moment, so there is room. Two such losses
 /// must not leave a primary whose work takes 5 ms with one attempt at a time, and a pause.
 #[test]
