--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -61,7 +61,7 @@
         let plan = Plan::of(seed);
         let text = serde_json::to_string(&plan).expect("it is written");
         assert_eq!(sillfold_conf::parse::<Plan>("plan", &text), Ok(plan.clone()));
-        let size = |p: &Plan| p.faults.len() + p.clients + usize::from(p.choppy);
+        let size = |p: &Plan| p.faults.len() + p.clients + usize::from(p.choppy) + usize::from(p.talk);
         assert!(plan.smaller().iter().all(|s| size(s) < size(&plan)));
         assert_eq!(Plan::of(seed), plan);
     }
