--- a/src/logic.rs
+++ b/src/logic.rs
@@ -415,7 +415,7 @@
                 None if s.proven => 1.0,
                 None => 1.0 + (UNPROVEN - 1.0) * blur,
             };
-            // What any member serves leaves those inside the bound to reads that must have one, while such wait.
+            // What any member serves leaves those inside the bound to reads that need one, while such wait.
             let mut tier = u32::from(short && (primary == Some(i) || behind <= self.tightest));
             if primary == Some(i) {
                 points *= if long { GATHER.powi(4) } else { PRIMARY_HANDICAP };
@@ -758,8 +758,8 @@
         }
     }
 
-    /// Classes of different work share a latency list: each sample counts in units of the mean class. Guards against
-    /// a server that got the long ones, by their class or as told, passing for a slow one.
+    /// Classes of different work share a latency list: each sample counts in units of the mean class.
+    /// Guards against a server that got the long ones, by their class or as told, passing for a slow one.
     fn scale(&self, class: usize, expected: Micros) -> f64 {
         let usual = if expected > 0 { expected as f64 } else { self.classes[class].mean };
         if usual > 0.0 && self.mean > 0.0 { self.mean / usual } else { 1.0 }
@@ -972,7 +972,7 @@
         }
     }
 
-    /// News for the peers, a few at once, as far as own requests pay for them. What heads a message takes two places.
+    /// News for the peers, a few at once, as far as own requests pay; a message's head takes two places.
     fn tell(&mut self) {
         let peers = f64::from(self.set.routers.max(1) - 1);
         let room = ((self.chat / peers) as usize).min(256) / LINE;
