Answer every open request in words before the program ends, and close without a reset

At fault: Proxy::run dropped what was open at that moment (proxy.rs), though a request may wait longer than 3 s.

Change: at that moment (50 ms after the longest wait that counts) each open request gets its last answer: failed where an attempt was written whole, else refused, as does what stands behind it; then up to 15 s for values on their way. Every connection ends with the half-close and the reading that only last errors had (client.rs, line.rs); one that makes way for another does so among the refused ones, so that its place is free at once. A departure is looked at before an answer, an order or an attempt (life.rs, beside), also while the proxy is not ready, and what a client sends ahead is read to its end: beyond 1 MiB, or what all may send, it is passed over and the session ends behind its answer. rustix (in the tree already, feature event) asks the machine whether the other side has ended where nothing may be read.

--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -865,6 +865,11 @@
         w.pipes.get(&self.inward).is_some_and(|p| p.came.is_empty() && !p.ended && !p.reset)
     }
 
+    fn is_hung_up(&self) -> bool {
+        let w = self.world.0.borrow();
+        w.pipes.get(&self.inward).is_none_or(|p| p.ended || p.reset)
+    }
+
     fn shutdown(&self) -> io::Result<()> {
         let mut w = self.world.0.borrow_mut();
         let Some(p) = w.pipes.get_mut(&self.outward) else { return Err(ErrorKind::NotConnected.into()) };
--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -56,6 +56,8 @@
     ids: RefCell<Ids>,
     /// Closed once no idle connection is to be kept; a drain that is called off puts a new one in place.
     closing: RefCell<(Sender<()>, Receiver<()>)>,
+    /// Closed once requests that are still open get their last answers, whatever came of them.
+    cut_off: (Sender<()>, Receiver<()>),
     /// Since when the proxy drains.
     draining: Cell<Option<Instant>>,
     stopping: Cell<bool>,
@@ -93,6 +95,13 @@
     ended: Sender<()>,
 }
 
+impl Slot {
+    fn of(count: &Rc<Cell<usize>>, ended: &Sender<()>) -> Slot {
+        count.set(count.get() + 1);
+        Slot { count: count.clone(), ended: ended.clone() }
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         self.count.set(self.count.get() - 1);
@@ -171,6 +180,7 @@
             waiting,
             ids,
             closing,
+            cut_off: async_channel::bounded(1),
             draining: Cell::new(None),
             stopping: Cell::new(false),
             listening: Cell::new(false),
@@ -192,8 +202,17 @@
         if count.get() >= most {
             return None;
         }
-        count.set(count.get() + 1);
-        Some((Slot { count: count.clone(), ended: self.ended.0.clone() }, refused))
+        Some((Slot::of(count, &self.ended.0), refused))
+    }
+
+    /// Moves a connection that only has to end among those that hear a refusal, so that its place is free at once;
+    /// false where they are too many.
+    pub fn vacate(&self, slot: &mut Slot) -> bool {
+        let room = self.refusing.get() < REFUSALS;
+        if room {
+            *slot = Slot::of(&self.refusing, &self.ended.0);
+        }
+        room
     }
 
     /// Whether all places are taken.
@@ -344,6 +363,21 @@
         self.relieved.set(true);
     }
 
+    /// The time of the stop is over: what is open, or comes on a connection that is, gets an answer at once.
+    pub fn cut_off(&self) {
+        self.cut_off.0.close();
+    }
+
+    /// Whether it is.
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off.0.is_closed()
+    }
+
+    /// Returns once it is.
+    pub async fn until_cut_off(&self) {
+        let _ = self.cut_off.1.recv().await;
+    }
+
     /// Connections that are open, and bytes that their clients have sent.
     pub fn held(&self) -> (usize, usize) {
         (self.open.get(), self.bytes.get())
@@ -360,7 +394,7 @@
     pub async fn close(&self) {
         self.stop();
         self.closing.borrow().0.close();
-        while self.open.get() > 0 {
+        while self.open.get() + self.refusing.get() > 0 {
             let _ = self.ended.1.recv().await;
         }
     }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -7,7 +7,7 @@
 use super::core::{Call, Clock, Core, fnv1a};
 use super::hosts::Hosts;
 use super::life::{Life, Verdict, give_up_at};
-use super::line::{Came, Line, put_fatal};
+use super::line::{Abandoned, Came, Line, put_fatal};
 use super::statements::{Statements, Terms, Turned};
 use super::world::{self, Listener, Spawner, Stream};
 use crate::Micros;
@@ -102,10 +102,11 @@
         let all = self.clone();
         let task = async move {
             // Given back only after the connection is closed.
-            let _slot = slot;
+            let mut slot = slot;
             let mut session = Session::new(&all, stream);
             // An error here is the client's connection failing: there is nobody left to tell.
-            if refused || matches!(session.run().await, Ok(true)) {
+            let ended = refused || session.run().await.is_ok();
+            if ended && (!session.line.evicted || all.admission.vacate(&mut slot)) {
                 session.line.farewell().await;
             }
         };
@@ -147,10 +148,10 @@
         Session { all, line: Line::new(&all.admission, stream), who, own, block, told }
     }
 
-    /// From the startup packet to the end; true if a last message has to be read before the close.
-    async fn run(&mut self) -> io::Result<bool> {
-        if let Some(done) = self.startup().await? {
-            return Ok(done);
+    /// From the startup packet to the end.
+    async fn run(&mut self) -> io::Result<()> {
+        if !self.startup().await? {
+            return Ok(());
         }
         let mut skipping = false;
         loop {
@@ -165,7 +166,7 @@
             (self.line.spoken, self.line.partial) = (true, None);
             self.line.affordable();
             match message {
-                Frontend::Terminate => return Ok(false),
+                Frontend::Terminate => return Ok(()),
                 Frontend::Sync => {
                     skipping = false;
                     self.ready();
@@ -183,7 +184,15 @@
                 }
                 Frontend::Query(text) if text.trim().trim_end_matches(';').is_empty() => {
                     self.line.flush().await?;
-                    self.all.core.ready().await;
+                    let core = &self.all.core;
+                    let ready = async {
+                        core.ready().await;
+                        None
+                    };
+                    let abandoned = async { Some(self.line.abandoned(true).await) };
+                    if future::or(ready, abandoned).await == Some(Abandoned::ClientGone) {
+                        return Ok(());
+                    }
                     match self.all.admission.unready() {
                         None => pg::put_empty_query(&mut self.line.out),
                         Some(why) => self.line.error(code::CANNOT_CONNECT_NOW, why),
@@ -192,12 +201,12 @@
                 }
                 Frontend::Query(text) => {
                     if !self.request(text, &mut 0).await? {
-                        return Ok(false);
+                        return Ok(());
                     }
                 }
                 Frontend::LongQuery(beginning, mut left) => {
                     if !self.request(beginning, &mut left).await? {
-                        return Ok(false);
+                        return Ok(());
                     }
                     // What is left of one that had its answer before its end.
                     self.line.flush().await?;
@@ -209,6 +218,9 @@
                     }
                 }
             }
+            if self.line.overrun {
+                return self.line.over(Came::TooMuch).await;
+            }
             if !self.line.inbox.is_empty() {
                 // Where hundreds of commands come at once, others have their turn between two.
                 future::yield_now().await;
@@ -240,10 +252,12 @@
                 // The answers to commands before this one do not wait for its own.
                 self.line.flush().await?;
                 self.told = None;
-                let verdict = if self.all.core.lets_in(&call) {
+                let stopped = self.all.admission.is_cut_off();
+                let verdict = if !stopped && self.all.core.lets_in(&call) {
                     let (line, all) = (&mut self.line, self.all);
-                    let (core, hosts, way_back) = (&all.core, &all.hosts, all.way_back);
-                    let mut life = Life { line, core, hosts, way_back, told: None };
+                    let (core, hosts, admission, way_back) =
+                        (&all.core, &all.hosts, &all.admission, all.way_back);
+                    let mut life = Life { line, core, hosts, admission, way_back, told: None };
                     let verdict = life.serve(&call, &statement, plain.as_ref(), left).await;
                     self.told = life.told;
                     verdict
@@ -404,25 +418,25 @@
         }
     }
 
-    /// Opens the session; if it ends instead, as `run` does.
-    async fn startup(&mut self) -> io::Result<Option<bool>> {
+    /// Opens the session; false if it ends instead.
+    async fn startup(&mut self) -> io::Result<bool> {
         loop {
             match pg::decode_startup(&mut self.line.inbox) {
                 Ok(None) => match self.line.flush_and_read().await? {
                     Came::Bytes => {}
-                    other => return self.line.over(other).await.map(Some),
+                    other => return self.line.over(other).await.map(|()| false),
                 },
                 Ok(Some(Startup::Encryption)) => self.line.out.push(b'N'),
-                Ok(Some(Startup::Cancel)) => return Ok(Some(false)),
+                Ok(Some(Startup::Cancel)) => return Ok(false),
                 Ok(Some(Startup::Session { minor, options, user, database })) => {
                     self.who = self.all.statements().map(|_| Box::new((user, database)));
                     if minor > 0 || !options.is_empty() {
                         pg::put_negotiate(&mut self.line.out, &options);
                     }
                     pg::put_welcome(&mut self.line.out);
-                    return Ok(None);
+                    return Ok(true);
                 }
-                Err(e) => return self.line.fatal(code::PROTOCOL_VIOLATION, &e.0).await.map(Some),
+                Err(e) => return self.line.fatal(code::PROTOCOL_VIOLATION, &e.0).await.map(|()| false),
             }
         }
     }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -658,8 +658,8 @@
         self.answered.set(true);
     }
 
-    /// The client has left: nothing is owed any more.
-    pub fn client_gone(&self) {
+    /// The client has left, or gets an answer that is none of the module's: nothing is to be begun any more.
+    pub fn abandoned(&self) {
         self.answered.set(true);
         self.core.feed(Event::ClientGone(self.id));
         // The order to withdraw an attempt, which its task has done already.
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -2,14 +2,16 @@
 //! beyond that: the connection is its line's, the attempt its host's owner's. It must never choose a host or judge an
 //! outcome: at each point of choice it asks the core.
 
+use super::admission::Admission;
 use super::core::{Call, Core, Ending, Order, Ticket};
 use super::hosts::{Attempted, Hosts, LongAnswer, Opened, PlainAnswer};
-use super::line::{Came, Line};
+use super::line::{Abandoned, Came, Line};
 use super::statements::Terms;
 use super::world;
 use crate::pg::{self, ErrorFields, Row, Statement};
 use crate::{Micros, Outcome};
 use futures_lite::future;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -51,6 +53,7 @@
     pub line: &'l mut Line<'a>,
     pub core: &'l Rc<Core>,
     pub hosts: &'l Rc<Hosts>,
+    pub admission: &'l Rc<Admission>,
     pub way_back: Micros,
     /// What the last answer told of its commit, and how long it took.
     pub told: Option<(Option<Micros>, Duration)>,
@@ -66,25 +69,40 @@
             Ended(Attempted),
             Ordered(Order),
             Uploaded(Result<Opened, Upload>),
-            ClientGone,
+            Abandoned(Abandoned),
         }
-        let (core, hosts) = (self.core.clone(), self.hosts.clone());
+        let (core, hosts, admission) = (self.core.clone(), self.hosts.clone(), self.admission.clone());
         let writes = plain.is_some_and(|p| p.writes);
         let ticket = core.open(call, *left > 0);
-        let written = || core.count(call.class, |c| &mut c.backend_calls);
+        // Whether any attempt was written whole: only what was not is harmless to try again.
+        let sent_on = Cell::new(false);
+        let written = || {
+            sent_on.set(true);
+            core.count(call.class, |c| &mut c.backend_calls);
+        };
+        // The answer to a request that is abandoned: none to a client that has left.
+        let last = |why| match why {
+            Abandoned::ClientGone => None,
+            Abandoned::CutOff if sent_on.get() => Some(Verdict::Failed),
+            Abandoned::CutOff => Some(Verdict::Refused { retry_in: core.retry_in }),
+        };
         let mut order = None;
         loop {
             let next = match order.take() {
-                Some(order) => order,
-                // What is still to come of a long statement stays where it is until a host is chosen.
-                None if *left > 0 => ticket.order().await,
-                None => match future::or(async { Some(ticket.order().await) }, self.line.gone()).await {
-                    Some(order) => order,
-                    None => {
-                        ticket.client_gone();
-                        return None;
-                    }
-                },
+                Some(order) => Ok(order),
+                // The client comes first: guards against an attempt that begins for one that has left. What is still to
+                // come of a long statement stays where it is until a host is chosen.
+                None => {
+                    let abandoned = async { Err(self.line.abandoned(*left == 0).await) };
+                    future::or(abandoned, async { Ok(ticket.order().await) }).await
+                }
+            };
+            let next = match next {
+                Ok(order) => order,
+                Err(why) => {
+                    ticket.abandoned();
+                    return last(why);
+                }
             };
             let (server, number, until) = match next {
                 Order::Attempt { server, number, until } => (server, number, until),
@@ -102,11 +120,16 @@
                     self.upload(opened, statement, left).await
                 };
                 let upload = async { Happened::Uploaded(upload.await) };
-                future::or(upload, async { Happened::Ordered(ticket.order().await) }).await
+                let ordered = async { Happened::Ordered(ticket.order().await) };
+                let cut_off = async {
+                    admission.until_cut_off().await;
+                    Happened::Abandoned(Abandoned::CutOff)
+                };
+                future::or(upload, future::or(ordered, cut_off)).await
             } else {
                 let attempt = hosts.attempt(server, statement, writes, until, written);
                 let attempt = async { Happened::Ended(attempt.await) };
-                self.beside(attempt, &ticket, Happened::Ordered, Happened::ClientGone).await
+                self.beside(attempt, &ticket, Happened::Ordered, Happened::Abandoned).await
             };
             // What was passed on in pieces is not here any more for another attempt.
             let once = *left < coming;
@@ -120,7 +143,7 @@
                 written();
                 ticket.whole(give_up_at);
                 let answer = async { Happened::Ended(hosts.answer(opened, give_up_at).await) };
-                happened = self.beside(answer, &ticket, Happened::Ordered, Happened::ClientGone).await;
+                happened = self.beside(answer, &ticket, Happened::Ordered, Happened::Abandoned).await;
             }
             let ended = |outcome, note| {
                 ticket.ended(Ending { server, number, outcome, latency: world::since(sent), note });
@@ -180,26 +203,28 @@
                     ended(Outcome::Cancelled, Default::default());
                     order = Some(other);
                 }
-                Happened::Uploaded(_) | Happened::ClientGone => {
-                    ticket.client_gone();
+                Happened::Uploaded(_) => {
+                    ticket.abandoned();
                     ended(Outcome::Cancelled, Default::default());
                     return None;
                 }
+                Happened::Abandoned(why) => {
+                    ticket.abandoned();
+                    ended(Outcome::Cancelled, Default::default());
+                    return last(why);
+                }
             }
         }
     }
 
-    /// The work, unless the module orders something else before, or the client leaves.
+    /// The work, unless the client has left, the module orders something else before, or the stop's time is over.
     async fn beside<T>(
         &mut self, work: impl Future<Output = T>, ticket: &Ticket<'_>, ordered: impl FnOnce(Order) -> T,
-        gone: T,
+        abandoned: impl FnOnce(Abandoned) -> T,
     ) -> T {
         let ordered = async { ordered(ticket.order().await) };
-        let left = async {
-            self.line.gone::<()>().await;
-            gone
-        };
-        future::or(work, future::or(ordered, left)).await
+        let abandoned = async { abandoned(self.line.abandoned(true).await) };
+        future::or(abandoned, future::or(work, ordered)).await
     }
 
     /// Passes on a long statement as its client writes it, up to its last byte.
@@ -207,6 +232,9 @@
         &mut self, mut opened: Opened, statement: &Statement, left: &mut usize,
     ) -> Result<Opened, Upload> {
         let broken = |_| Upload::NoConnection(Outcome::ConnectFailed);
+        if self.line.is_hung_up() {
+            return Err(Upload::BrokenOff);
+        }
         let mut piece = Vec::new();
         pg::put_long_query(&mut piece, statement.text(), *left);
         opened.write(&piece).await.map_err(broken)?;
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -25,6 +25,10 @@
 /// after the longest farewell: one that is still sending 60 MB has to hear the error.
 const FAREWELL: Duration = Duration::from_millis(200);
 const LONGEST_FAREWELL: Duration = Duration::from_secs(3);
+/// What a client may have sent behind a request that is open.
+const MOST_AHEAD: usize = 1 << 20;
+/// Where nothing is read, the machine is asked this often whether the client has left.
+const LOOK: Duration = Duration::from_millis(50);
 /// A connection that never asked anything is given this long when all are closed: what the client
 /// wrote behind its startup message may be on its way.
 const UNASKED: Duration = Duration::from_millis(200);
@@ -48,6 +52,15 @@
     TooMuch,
 }
 
+/// Why nothing more is begun for a request that is open.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Abandoned {
+    /// Its client has closed the connection.
+    ClientGone,
+    /// The time of the stop is over: it gets its last answer now.
+    CutOff,
+}
+
 /// One client's connection.
 pub struct Line<'a> {
     all: &'a Rc<Admission>,
@@ -62,6 +75,10 @@
     pub asked: bool,
     /// Since when a part of a message waits for the rest.
     pub partial: Option<Instant>,
+    /// It rests no longer because another wants its place.
+    pub evicted: bool,
+    /// It has sent more than is read ahead.
+    pub overrun: bool,
     /// When the client last said anything.
     heard: Instant,
     /// Told when the place is wanted for another.
@@ -80,6 +97,8 @@
             spoken: false,
             asked: false,
             partial: None,
+            evicted: false,
+            overrun: false,
             heard: world::now(),
             go: async_channel::bounded(1),
         }
@@ -103,18 +122,18 @@
         pg::put_error(&mut self.out, &fields);
     }
 
-    /// A last error; true, as `run` ends.
-    pub async fn fatal(&mut self, code: &str, message: &str) -> io::Result<bool> {
+    /// A last error.
+    pub async fn fatal(&mut self, code: &str, message: &str) -> io::Result<()> {
         put_fatal(&mut self.out, code, message);
-        self.flush().await.map(|()| true)
+        self.flush().await
     }
 
-    /// The end of the session, as `run` ends.
-    pub async fn over(&mut self, why: Came) -> io::Result<bool> {
+    /// The end of the session.
+    pub async fn over(&mut self, why: Came) -> io::Result<()> {
         match why {
             Came::TooSlow => self.fatal(code::PROTOCOL_VIOLATION, "what was begun did not end in time").await,
             Came::TooMuch => self.fatal(code::OUT_OF_MEMORY, "too much is being sent here at once").await,
-            Came::Bytes | Came::End => Ok(false),
+            Came::Bytes | Came::End => Ok(()),
         }
     }
 
@@ -177,20 +196,25 @@
         let late = self.all.is_late(self.begun);
         let closing = async {
             if !resting || late {
-                future::pending::<()>().await;
-            }
-            let _ = all.closing().recv().await;
-            if !asked {
-                world::after(UNASKED).await;
+                all.until_cut_off().await;
+            } else {
+                let _ = all.closing().recv().await;
+                if !asked {
+                    future::or(world::after(UNASKED), all.until_cut_off()).await;
+                }
             }
-            Some(Ok(0))
+            // Half of a message hears that it came too late.
+            resting.then_some(Ok(0))
         };
+        let mut evicted = false;
         let asked_to_go = async {
             let _ = go.recv().await;
+            evicted = true;
             Some(Ok(0))
         };
         let read = future::or(read, future::or(closing, future::or(asked_to_go, time_is_up))).await;
         self.heard = world::now();
+        self.evicted = evicted;
         match read {
             Some(Ok(n)) if n > 0 => Ok(if self.affordable() { Came::Bytes } else { Came::TooMuch }),
             Some(Err(e)) => Err(e),
@@ -210,20 +234,52 @@
         self.share.is_empty() || self.all.fits()
     }
 
-    /// Returns nothing once the client has closed its connection. What it sends meanwhile is kept,
-    /// up to the longest message.
-    pub async fn gone<T>(&mut self) -> Option<T> {
-        while self.inbox.len() <= pg::MOST_BYTES && self.affordable() {
-            match read(&self.stream, &mut self.inbox).await {
-                Ok(n) if n > 0 => {}
-                _ => return None,
+    /// Returns once nothing more is to be begun for the request that is open. Where it `reads`, what the client sends
+    /// meanwhile is kept, up to `MOST_AHEAD` and what all may have sent; beyond that it is passed over, and the session ends
+    /// behind the answer: a client's end shows only to whoever reads up to it.
+    pub async fn abandoned(&mut self, reads: bool) -> Abandoned {
+        let all = self.all;
+        let cut_off = async {
+            all.until_cut_off().await;
+            Abandoned::CutOff
+        };
+        let gone = async {
+            self.gone(reads).await;
+            Abandoned::ClientGone
+        };
+        future::or(gone, cut_off).await
+    }
+
+    /// Returns once the client has closed its connection.
+    async fn gone(&mut self, reads: bool) {
+        if !reads {
+            while !self.is_hung_up() {
+                world::after(LOOK).await;
             }
+            return;
         }
-        future::pending().await
+        loop {
+            self.overrun |= self.inbox.len() > MOST_AHEAD || !self.affordable();
+            let read = match self.overrun {
+                true => self.stream.read_with(|_| ()).await,
+                false => read(&self.stream, &mut self.inbox).await,
+            };
+            if !matches!(read, Ok(1..)) {
+                return;
+            }
+            // Others have their turn while much comes.
+            future::yield_now().await;
+        }
+    }
+
+    /// Whether the client has closed its connection, also where what it sent before is not read.
+    pub fn is_hung_up(&self) -> bool {
+        self.stream.is_hung_up()
     }
 
-    /// Ends the sending and reads on, into nothing, until the client is done: closing over unread
-    /// input would reset the connection, and the last message with it.
+    /// The lingering close: ends the sending and reads on, into nothing, until the client is done. Closing over
+    /// unread input would reset the connection, and what was said last with it. A request that crosses this is not
+    /// begun: its client sees the end before any answer, and asks again elsewhere.
     pub async fn farewell(&mut self) {
         if self.stream.shutdown().is_err() {
             return;
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -22,10 +22,13 @@
 use std::time::Duration;
 use tracing::info;
 
-/// Beyond the linger and the longest wait of a client, how long a stop may take; and the longest wait
-/// that counts, since SIGKILL comes 0.7 s after it at the soonest.
-const STOP_SLACK: Duration = Duration::from_millis(150);
-const LONGEST_STOP: Duration = Duration::from_secs(3);
+/// The graceful shutdown: beyond the linger and the longest wait of a client requests have this long; then each that is
+/// open gets its last answer. The longest wait that counts, since SIGKILL comes 0.7 s after it at the soonest.
+const CUT_OFF_SLACK: Duration = Duration::from_millis(50);
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+/// How long the last answers may take on their way, and long values that have begun: a reader that takes nothing of one
+/// is given up within this.
+const LAST_WORDS: Duration = Duration::from_secs(15);
 
 /// A proxy whose parts run, and which takes no clients yet.
 pub struct Proxy {
@@ -125,7 +128,7 @@
         let listener = socket.listen().map_err(|e| format!("listen: cannot listen on {address}: {e}"))?;
         info!(target: "sillfold", "{name} serves on {address}");
         future::or(clients.accept(&listener), async { _ = stopped.recv().await }).await;
-        let latest = world::now() + linger + longest.min(LONGEST_STOP) + STOP_SLACK;
+        let cut_off = world::now() + linger + longest.min(LONGEST_WAIT) + CUT_OFF_SLACK;
         if mutants::on("never stops") {
             future::pending::<()>().await;
         }
@@ -146,7 +149,13 @@
             clients.accept_rest(&listener);
             drop(listener);
         }
-        if by(latest, clients.admission.close()).await.is_none() {
+        if by(cut_off, clients.admission.close()).await.is_some() {
+            return Ok(());
+        }
+        // Guards against a close on a request that was taken: whoever waits for longer hears so.
+        info!(target: "sillfold", "{name} gives its last answers");
+        clients.admission.cut_off();
+        if by(world::now() + LAST_WORDS, clients.admission.close()).await.is_none() {
             info!(target: "sillfold", "{name} stops with clients that would not end");
         }
         Ok(())
--- a/src/net/world.rs
+++ b/src/net/world.rs
@@ -8,6 +8,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::fs;
@@ -73,6 +74,8 @@
     fn poll_write(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>>;
     /// Nothing has come, and it has not ended.
     fn quiet(&self) -> bool;
+    /// The other side has ended its sending, whether or not all it sent has been read.
+    fn is_hung_up(&self) -> bool;
     /// Ends the sending.
     fn shutdown(&self) -> io::Result<()>;
 }
@@ -312,6 +315,20 @@
         }
     }
 
+    /// Whether the other side has ended its sending, also where what it sent before waits to be read. A machine that
+    /// cannot tell says no.
+    pub fn is_hung_up(&self) -> bool {
+        match self {
+            Stream::Machine(s) => {
+                let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+                let mut asked = [PollFd::new(s.get_ref(), PollFlags::RDHUP)];
+                poll(&mut asked, Some(&Timespec::default())).is_ok() && asked[0].revents().intersects(ends)
+            }
+            Stream::Local(_) => false,
+            Stream::Other(w) => w.is_hung_up(),
+        }
+    }
+
     /// Ends the sending.
     pub fn shutdown(&self) -> io::Result<()> {
         match self {
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,251 @@
+//! Crossings: a request, an answer, a signal or a close that comes at the very moment of another. Each is forced, by
+//! peers that hold back until told or by a program that is frozen while both happen. `docs/crossings.md` is the table.
+
+mod support;
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::Shutdown;
+use std::sync::Mutex;
+use std::sync::mpsc::{Sender, channel};
+use std::time::Instant;
+use support::*;
+
+fn served(value: &'static str) -> Host {
+    Host::start(move |_, _| Reply::Row(value))
+}
+
+/// A host that answers each query with what it is told to then.
+fn told() -> (Host, Sender<Reply>) {
+    let (tell, told) = channel::<Reply>();
+    let told = Mutex::new(told);
+    let answer =
+        move |_: usize, _: &str| told.lock().expect("lock").recv_timeout(PATIENCE).unwrap_or(Reply::Silence);
+    (Host::start(answer), tell)
+}
+
+fn linger(ms: u32) -> impl Fn(String) -> String {
+    move |config| config.replacen('{', &format!("{{\"linger_ms\":{ms},"), 1)
+}
+
+fn write(id: &str, patience_ms: u32) -> String {
+    format!(
+        "/* id={id},c=ingest,d={patience_ms},k=5c0f{id},cluster=3 */ INSERT INTO entries VALUES ('7f', '1')"
+    )
+}
+
+/// The stop's time ends long before the client's patience does.
+#[test]
+fn a_stop_answers_what_is_still_open_in_words_and_what_came_behind_it() {
+    let host = Host::start(|_, _| Reply::Silence);
+    let mute = Host::mute();
+    let mut proxy = Proxy::start_with(&[&host], 1024, linger(100));
+    let mut never = Proxy::start_with(&[&mute], 1024, |c| {
+        linger(100)(c).replace("\"dialTimeoutUs\":1500000", "\"dialTimeoutUs\":19000000")
+    });
+    let (mut sent, mut unsent, mut half) = (proxy.client(), never.client(), proxy.client());
+    let behind: Vec<u8> = ["2", "3"].iter().flat_map(|id| query(&read(id, "history", 20_000))).collect();
+    sent.send(&[query(&write("1", 20_000)), behind].concat());
+    host.query();
+    unsent.send(&query(&write("4", 20_000)));
+    assert_eq!(mute.next(), Seen::Opened);
+    proxy.signal("TERM");
+    never.signal("TERM");
+    proxy.logged("stops");
+    half.send(&query(&read("5", "history", 9_000))[..30]);
+    // It may have run.
+    let answer = sent.answer();
+    assert_eq!((answer.code.as_str(), answer.end), ("40003", End::Ready), "{}", answer.message);
+    // They have not.
+    for _ in 0..2 {
+        let answer = sent.answer();
+        assert_eq!((answer.code.as_str(), answer.end), ("53300", End::Ready));
+    }
+    assert_eq!(sent.answer().end, End::Closed);
+    let answer = unsent.answer();
+    assert_eq!((answer.code.as_str(), answer.end), ("53300", End::Ready));
+    assert_eq!(half.answer().code, "08P01");
+    assert!(proxy.wait().success() && never.wait().success());
+    assert_eq!(host.next(), Seen::Closed);
+}
+
+/// A request on a resting connection that is being shut: the client sees the end, and no reset.
+#[test]
+fn a_request_that_crosses_the_end_of_a_resting_connection_is_not_begun_and_resets_nothing() {
+    let host = served("v");
+    let mut proxy = Proxy::start_with(&[&host], 1024, linger(1));
+    let mut client = proxy.client();
+    assert_eq!(client.ask(&read("1", "history", 9000)).value.as_deref(), Some("v"));
+    proxy.signal("TERM");
+    assert_eq!(client.answer().end, End::Closed);
+    client.send(&query(&read("2", "history", 9000)));
+    assert!(proxy.wait().success());
+    let after = client.stream.read(&mut [0]);
+    assert!(matches!(after, Ok(0)), "{after:?}");
+    assert_eq!(host.next(), Seen::Opened);
+    assert!(matches!(host.next(), Seen::Query(text) if text.contains("id=1,")));
+    assert_eq!(host.next(), Seen::Closed);
+}
+
+/// All of it is there at once when the program goes on: what was written before the shutdown is answered.
+#[test]
+fn a_request_that_comes_with_the_signal_is_answered_whichever_is_seen_first() {
+    let host = served("v");
+    let mut proxy = Proxy::start_with(&[&host], 1024, linger(1));
+    let (mut old, mut new) = (proxy.client(), Client::connect(proxy.address));
+    proxy.freeze();
+    proxy.signal("TERM");
+    proxy.signal("HUP");
+    proxy.signal("TERM");
+    old.send(&query(&read("1", "history", 9000)));
+    new.send(&[startup(), query(&read("2", "history", 9000))].concat());
+    proxy.thaw();
+    assert_eq!(old.answer().value.as_deref(), Some("v"));
+    assert_eq!(new.answer().end, End::Ready);
+    assert_eq!(new.answer().value.as_deref(), Some("v"));
+    assert_eq!((old.answer().end, new.answer().end), (End::Closed, End::Closed));
+    assert!(proxy.wait().success());
+}
+
+/// An error that would be followed by another attempt, and the departure, at the same moment.
+#[test]
+fn no_further_attempt_begins_for_a_client_that_left_as_the_answer_came() {
+    let (host, tell) = told();
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    client.send(&query(&read("1", "history", 20_000)));
+    assert!(host.query().contains("id=1,"));
+    proxy.freeze();
+    drop(client);
+    tell.send(Reply::Error("XX000")).expect("the host waits");
+    host.replied();
+    proxy.thaw();
+    // The next client's request is the next that the host sees.
+    tell.send(Reply::Row("v")).expect("the host waits");
+    assert_eq!(proxy.client().ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
+    assert!(host.query().contains("id=2,"));
+}
+
+/// Two requests at once, and the end: the second must not begin because the first has its answer.
+#[test]
+fn no_request_behind_another_begins_for_a_client_that_left() {
+    let (host, tell) = told();
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    let two = [query(&read("1", "history", 20_000)), query(&read("2", "history", 20_000))].concat();
+    client.send(&two);
+    assert!(host.query().contains("id=1,"));
+    proxy.freeze();
+    drop(client);
+    tell.send(Reply::Row("v")).expect("the host waits");
+    host.replied();
+    proxy.thaw();
+    tell.send(Reply::Row("v")).expect("the host waits");
+    assert_eq!(proxy.client().ask(&read("3", "history", 9000)).value.as_deref(), Some("v"));
+    assert!(host.query().contains("id=3,"));
+}
+
+/// It has sent more than is read ahead, so its end is behind bytes that nobody reads.
+#[test]
+fn a_departure_behind_more_than_is_read_ahead_withdraws_the_attempt() {
+    let host = Host::start(|_, _| Reply::Silence);
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    client.send(&query(&read("1", "history", 20_000)));
+    host.query();
+    client.send(&query("SELECT 1").repeat((3 << 20) / 14));
+    let left = Instant::now();
+    drop(client);
+    assert_eq!(host.next(), Seen::Closed);
+    assert!(left.elapsed() < PATIENCE / 2, "the attempt ended with its time, not with its client");
+    assert!(proxy.memory_kb() < 40_000, "{} KB", proxy.memory_kb());
+}
+
+/// What is read ahead is bounded, and the request that was open has its answer before the client hears so.
+#[test]
+fn a_client_that_sends_too_much_ahead_hears_so_behind_its_answer() {
+    let (host, tell) = told();
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    client.send(&query(&read("1", "history", 20_000)));
+    assert!(host.query().contains("id=1,"));
+    // More than both machines' buffers hold: most of it has been read when this returns.
+    client.send(&query("SELECT 1").repeat((16 << 20) / 14));
+    tell.send(Reply::Row("v")).expect("the host waits");
+    assert_eq!(client.answer().value.as_deref(), Some("v"));
+    let answer = client.answer();
+    assert_eq!((answer.code.as_str(), answer.end), ("53200", End::Closed));
+}
+
+/// 96 descriptors: 39 for clients. All of them ask before the list is there, and leave.
+#[test]
+fn clients_that_leave_before_the_proxy_is_ready_give_their_places_back() {
+    let proxy = Proxy::start(&[], 96);
+    let waiting: Vec<Client> = (0..39)
+        .map(|_| {
+            let mut client = proxy.client();
+            client.send(&query(""));
+            client
+        })
+        .collect();
+    let full = Client::connect(proxy.address).answer();
+    assert_eq!(full.code, "53300");
+    for client in waiting {
+        client.stream.shutdown(Shutdown::Write).expect("open");
+        assert_eq!(Client { stream: client.stream }.answer().end, End::Closed);
+    }
+    assert_eq!(proxy.client().ask(&read("1", "history", 9000)).code, "57P03");
+}
+
+/// Told while it cannot serve yet, or before it has looked at anything: it ends, in order.
+#[test]
+fn a_stop_before_the_list_is_there_and_one_that_comes_twice_end_in_order() {
+    let mut proxy = Proxy::start_with(&[], 1024, linger(1));
+    let mut client = proxy.client();
+    client.send(&query(""));
+    // Another is answered after it: the empty query waits by now.
+    assert_eq!(proxy.client().ask(&read("1", "history", 9000)).code, "57P03");
+    proxy.signal("TERM");
+    proxy.logged("stops");
+    proxy.signal("TERM");
+    let answer = client.answer();
+    assert_eq!((answer.code.as_str(), answer.end), ("57P03", End::Ready));
+    assert_eq!(client.answer().end, End::Closed);
+    assert!(proxy.wait().success());
+}
+
+/// The host ends a connection at rest, with half of a line, in the moment in which a request is written to it.
+#[test]
+fn a_host_that_shuts_a_resting_connection_with_half_a_line_costs_no_attempt() {
+    let (host, tell) = told();
+    let one = |config: String| config.replace("\"mostTries\":10", "\"mostTries\":1");
+    let proxy = Proxy::start_with(&[&host], 1024, one);
+    let mut client = proxy.client();
+    tell.send(Reply::Row("v")).expect("the host waits");
+    assert_eq!(client.ask(&read("1", "history", 9000)).value.as_deref(), Some("v"));
+    host.query();
+    proxy.freeze();
+    client.send(&query(&read("2", "history", 9000)));
+    host.end_connections(b"E\0\0\0");
+    assert_eq!(host.next(), Seen::Closed);
+    proxy.thaw();
+    tell.send(Reply::Row("w")).expect("the host waits");
+    let answer = client.answer();
+    assert_eq!(answer.value.as_deref(), Some("w"), "{answer:?}");
+    assert_eq!(host.next(), Seen::Opened);
+}
+
+/// It writes on and on and reads nothing; whoever is beside it is served.
+#[test]
+fn a_client_that_sends_much_and_goes_harms_nobody() {
+    let host = served("v");
+    let proxy = Proxy::start(&[&host], 1024);
+    for _ in 0..20 {
+        let mut client = proxy.client();
+        let much = query("SELECT 1").repeat(200 * 1024 / 14);
+        // It may be told to go in the middle of this.
+        let sent = client.stream.write_all(&much);
+        assert!(sent.is_ok() || sent.is_err_and(|e| e.kind() != ErrorKind::WouldBlock));
+    }
+    assert_eq!(proxy.client().ask(&read("1", "history", 9000)).value.as_deref(), Some("v"));
+    assert!(proxy.memory_kb() < 40_000, "{} KB", proxy.memory_kb());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -77,6 +77,10 @@
 pub struct Host {
     pub address: SocketAddr,
     pub seen: Receiver<Seen>,
+    /// Its connections, open or not.
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    /// Told after each reply is written.
+    replies: Receiver<()>,
 }
 
 impl Host {
@@ -86,17 +90,26 @@
         let address = listener.local_addr().expect("bound");
         let (tell, seen) = channel();
         let (script, count) = (Arc::new(script), Arc::new(Mutex::new(0)));
+        let connections: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let accepted = connections.clone();
+        let (replied, replies) = channel();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                let copy = || stream.try_clone().expect("clone");
+                accepted.lock().expect("lock").push(copy());
+                let own = copy();
                 let (script, count, tell) = (script.clone(), count.clone(), tell.clone());
+                let replied = replied.clone();
                 thread::spawn(move || {
                     let _ = tell.send(Seen::Opened);
-                    let _ = converse(stream, &*script, &count, &tell);
+                    let _ = converse(stream, &*script, &count, (&tell, &replied));
+                    // `end_connections` holds a copy.
+                    let _ = own.shutdown(std::net::Shutdown::Both);
                     let _ = tell.send(Seen::Closed);
                 });
             }
         });
-        Host { address, seen }
+        Host { address, seen, connections, replies }
     }
     /// One at which no session ever comes up.
     pub fn mute() -> Host {
@@ -110,7 +123,19 @@
                 let _ = tell.send(Seen::Opened);
             }
         });
-        Host { address, seen }
+        Host { address, seen, connections: Arc::default(), replies: channel().1 }
+    }
+    /// Writes this to all of its connections and ends them.
+    pub fn end_connections(&self, last: &[u8]) {
+        for mut stream in self.connections.lock().expect("lock").drain(..) {
+            let _ = stream.write_all(last);
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Waits until the next reply has been written.
+    pub fn replied(&self) {
+        self.replies.recv_timeout(PATIENCE).expect("the host replies");
     }
     pub fn next(&self) -> Seen {
         self.seen.recv_timeout(PATIENCE).expect("the host sees something")
@@ -126,7 +151,8 @@
 }
 
 fn converse(
-    mut s: TcpStream, script: &dyn Fn(usize, &str) -> Reply, count: &Mutex<usize>, tell: &Sender<Seen>,
+    mut s: TcpStream, script: &dyn Fn(usize, &str) -> Reply, count: &Mutex<usize>,
+    (tell, replied): (&Sender<Seen>, &Sender<()>),
 ) -> std::io::Result<()> {
     let mut len = [0; 4];
     s.read_exact(&mut len)?;
@@ -143,8 +169,9 @@
             *count += 1;
             *count - 1
         };
+        // Seen before it is answered: a script may wait for what the test does then.
+        let _ = tell.send(Seen::Query(text.clone()));
         let reply = script(n, &text);
-        let _ = tell.send(Seen::Query(text));
         match reply {
             Reply::Row(value) => s.write_all(&row(value))?,
             Reply::Error(code) => s.write_all(&error(code))?,
@@ -152,6 +179,7 @@
             Reply::Bytes(bytes) => s.write_all(&bytes)?,
             Reply::Close(bytes) => return s.write_all(&bytes),
         }
+        let _ = replied.send(());
     }
 }
 
@@ -356,6 +384,20 @@
         let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("kill").success());
     }
+    /// Stops it where it stands: what happens until `thaw` is there at once then.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let state = || {
+            std::fs::read_to_string(&stat).expect("it runs").rsplit(") ").next().map(|s| s[..1].to_string())
+        };
+        while state().as_deref() != Some("T") {
+            thread::yield_now();
+        }
+    }
+    pub fn thaw(&self) {
+        self.signal("CONT");
+    }
     /// Its memory in KB, as the kernel counts it.
     pub fn memory_kb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
