Open a silent watch anew within what counts as told, and take indented and torn news

Ruled out: an answer without a length that is reset was no list before either; descriptors of the watch and of hosts hold beside a full crowd (both now have a story).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,11 +15,12 @@
 use tracing::warn;
 
 const PATH: &str = "/registry/instances";
-/// An empty line comes every 2 s; after this long without one the connection is taken for dead.
-const SILENCE: Duration = Duration::from_secs(7);
+/// The heartbeat time-out. A line comes every 2 s, empty or not; a watch without a whole one for this long is broken.
+/// What it misses counts as told 6 s after it fell silent, and the watch that follows needs its time inside that.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(4_250);
 /// A watch that held for so long went well.
 const HELD: Duration = Duration::from_secs(1);
-/// The longest line or body that is kept.
+/// The longest message, line or body that is kept.
 const MOST_BYTES: usize = 4 << 20;
 
 /// Keeps the list current, from the version that is known, at the agent last moved to. A move leaves
@@ -29,13 +30,14 @@
     core: &Core, hosts: &Hosts,
 ) {
     let mut index = known;
+    let (mut news, answer) = (News::default(), backoff.answer);
     let mut wait = if known.is_some() { backoff.soon() } else { Duration::ZERO };
     loop {
         let watch = async {
             world::after(wait).await;
             let mut accepted = None;
             let whole = index.is_none();
-            let ended = session(agent, &mut index, &mut accepted, core, hosts).await;
+            let ended = session(agent, answer, &mut index, &mut accepted, &mut news, core, hosts).await;
             if let Err(what) = &ended {
                 warn!(target: "discovery", "{what}");
             }
@@ -65,13 +67,15 @@
 
 /// One connection: the whole list where none is known, then a watch until it ends.
 async fn session(
-    agent: SocketAddr, index: &mut Option<u64>, accepted: &mut Option<Instant>, core: &Core, hosts: &Hosts,
+    agent: SocketAddr, answer: Duration, index: &mut Option<u64>, accepted: &mut Option<Instant>,
+    news: &mut News, core: &Core, hosts: &Hosts,
 ) -> Result<(), String> {
     let path = match *index {
         None => PATH.to_string(),
         Some(at) => format!("{PATH}?stream=1&index={at}"),
     };
-    let mut http = Http::get(agent, &path).await?;
+    let http = by(world::now() + answer, Http::get(agent, &path)).await;
+    let mut http = http.ok_or("no answer in time")??;
     if http.status != 200 {
         // The version may be one that discovery no longer knows: begin again with the whole list. Guards
         // against a hundred proxies that ask an overbooked discovery for whole lists instead of news.
@@ -81,23 +85,97 @@
         return Err(format!("status {} for {path}", http.status));
     }
     *accepted = Some(world::now());
-    let mut apply = |text: &[u8]| match Listing::parse(text) {
-        Ok(listing) => {
-            hosts.listed(&core.list(&listing, false), &listing);
-            *index = Some(listing.index);
-        }
-        Err(e) => warn!(target: "discovery", "the list stays as it was: {e}"),
-    };
+    let mut apply = |listing: &Listing| hosts.listed(&core.list(listing, false), listing);
     if path == PATH {
-        apply(&http.whole().await?);
+        let whole = by(world::now() + HEARTBEAT_TIMEOUT, http.whole()).await;
+        let whole = Listing::parse(&whole.ok_or("a list that does not end in time")??);
+        let listing = whole.map_err(|e| format!("the list stays as it was: {e}"))?;
+        apply(&listing);
+        *index = Some(listing.index);
         return Ok(());
     }
-    while let Some(line) = http.line().await? {
-        if line.iter().any(|b| !b.is_ascii_whitespace()) {
-            apply(&line);
+    news.drop_begun();
+    // A message of this watch was lost, and none has told of its changes since.
+    let mut lost = false;
+    loop {
+        // Whole lines count: guards against one that goes on and on.
+        let line = by(world::now() + HEARTBEAT_TIMEOUT, http.line()).await;
+        let Some(line) = line.ok_or("silent for too long")?? else { return Ok(()) };
+        match news.take(&line) {
+            Ok(None) => {}
+            Ok(Some(listing)) => {
+                apply(&listing);
+                // Behind a message that was lost, only a whole list says what that one did.
+                if !lost || listing.full {
+                    (*index, lost, news.spoilt) = (Some(listing.index), false, false);
+                }
+            }
+            // Asked for again, once; guards against a message that is always bad, and keeps out all behind it.
+            Err((what, _)) if !std::mem::replace(&mut news.spoilt, true) => {
+                return Err(format!("the list stays as it was: {what}"));
+            }
+            Err((what, next)) => {
+                lost = true;
+                warn!(target: "discovery", "the list stays as it was, again: {what}");
+                next.iter().for_each(&mut apply);
+            }
+        }
+    }
+}
+
+/// The messages of a watch, put together from their lines: a list may come indented, over many of them.
+#[derive(Default)]
+struct News {
+    /// Lines of a message that is not whole yet, and how far into it they lead.
+    text: Vec<u8>,
+    depth: usize,
+    /// In a string, and behind a backslash there.
+    quoted: bool,
+    escaped: bool,
+    /// A watch was left for a message that could not be read, and none has told of its changes since.
+    spoilt: bool,
+}
+
+impl News {
+    /// What was begun is over, whatever it was; whether there was something.
+    fn drop_begun(&mut self) -> bool {
+        (self.depth, self.quoted, self.escaped) = Default::default();
+        !std::mem::take(&mut self.text).is_empty()
+    }
+
+    /// Takes in a line: a message where one ends with it, or why there is none, with what came behind a torn one.
+    fn take(&mut self, line: &[u8]) -> Result<Option<Listing>, (String, Option<Listing>)> {
+        let torn = || "a message that does not end".to_string();
+        if line.iter().all(u8::is_ascii_whitespace) {
+            // A heartbeat comes between messages.
+            return if self.drop_begun() { Err((torn(), None)) } else { Ok(None) };
+        }
+        if !self.text.is_empty()
+            && line.starts_with(b"{")
+            && let Ok(next) = Listing::parse(line)
+        {
+            self.drop_begun();
+            return Err((torn(), Some(next)));
+        }
+        for b in line {
+            match b {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.quoted => self.escaped = true,
+                b'"' => self.quoted = !self.quoted,
+                b'{' | b'[' if !self.quoted => self.depth += 1,
+                b'}' | b']' if !self.quoted => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+        }
+        self.text.extend_from_slice(line);
+        self.text.push(b'\n');
+        if self.depth > 0 && self.text.len() <= MOST_BYTES {
+            return Ok(None);
         }
+        let parsed = Listing::parse(&self.text);
+        self.drop_begun();
+        parsed.map(Some).map_err(|e| (e, None))
     }
-    Ok(())
 }
 
 /// How the body of an answer is delimited.
@@ -119,8 +197,7 @@
 
 impl Http {
     async fn get(agent: SocketAddr, path: &str) -> Result<Http, String> {
-        let connect = by(world::now() + SILENCE, Stream::connect(agent)).await;
-        let stream = connect.ok_or("no connection in time")?.map_err(|e| format!("connecting: {e}"))?;
+        let stream = Stream::connect(agent).await.map_err(|e| format!("connecting: {e}"))?;
         let request = format!("GET {path} HTTP/1.1\r\nHost: {agent}\r\nAccept: application/json\r\n\r\n");
         stream.write_all(request.as_bytes()).await.map_err(|e| format!("asking: {e}"))?;
         let mut http =
@@ -156,8 +233,8 @@
     /// Reads what has come; false at the end of the connection.
     async fn more(&mut self) -> Result<bool, String> {
         let raw = &mut self.raw;
-        let read = by(world::now() + SILENCE, self.stream.read_with(|part| raw.extend(part))).await;
-        let n = read.ok_or("silent for too long")?.map_err(|e| format!("reading: {e}"))?;
+        let read = self.stream.read_with(|part| raw.extend(part)).await;
+        let n = read.map_err(|e| format!("reading: {e}"))?;
         if self.raw.len() > MOST_BYTES || self.body.len() > MOST_BYTES {
             return Err(format!("an answer of over {MOST_BYTES} bytes"));
         }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -378,6 +378,8 @@
     let proxy = Proxy::start(&[&old], 1024);
     assert!(proxy.agent.asked().contains("stream=1&index=41 "));
     proxy.agent.line(r#"{"index":99,"snapshot":true,"endpoints":[{"name":"x","address":"nowhere"}]}"#);
+    // What it said is asked for again, where the list stands.
+    assert!(proxy.agent.asked().contains("stream=1&index=41 "));
     proxy.agent.line(&list(43, false, &[(&old, "SERVING")]));
     proxy.agent.end_watch();
     assert!(proxy.agent.asked().contains("stream=1&index=43 "));
@@ -476,6 +478,7 @@
     proxy.agent.line(&line);
     proxy.agent.line(&line[..line.len() / 2]);
     proxy.logged("the list stays as it was");
+    assert!(proxy.agent.asked().contains("stream=1&index=42 "));
     assert_eq!(proxy.client().ask(&read("1", "history", 9000)).value.as_deref(), Some("v"));
     proxy.agent.line(&list(7, true, &[(&host, "SERVING")]));
     proxy.agent.end_watch();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! among them. Everything a peer sees is an event that a test waits for; nothing here sleeps.
 #![allow(dead_code, reason = "each file of stories uses its part of the peers")]
 
+use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -216,58 +217,177 @@
     Ok((head[0], body))
 }
 
-/// Discovery's agent: what was asked of it, and the lines that its watches get.
+/// What an agent does with a call.
+#[derive(Clone)]
+pub enum Call {
+    /// It is a watch, which gets a line now and then, empty where nothing is to be said.
+    Watch,
+    Refuse,
+    /// Accepted, and left without an answer.
+    Silence,
+    /// Writes this; what follows is up to the test.
+    Bytes(Vec<u8>),
+    /// Writes this and resets the connection.
+    Reset(Vec<u8>),
+}
+
+/// Of an agent, what its connections share.
+#[derive(Default)]
+struct Desk {
+    /// What is to become of the next calls; the others are watches.
+    calls: VecDeque<Call>,
+    /// Where the newest watch hears what to write.
+    newest: Option<Sender<Option<String>>>,
+    /// What no watch was there for.
+    waiting: Vec<Option<String>>,
+    /// Watches opened so far, and of how many nothing is heard any more.
+    opened: usize,
+    hushed: usize,
+    /// The connection of the latest call.
+    latest: Option<TcpStream>,
+}
+
+/// Discovery's agent: what was asked of it, and the lines that its newest watch gets.
 pub struct Agent {
     pub address: SocketAddr,
     asked: Receiver<String>,
-    lines: Sender<Option<String>>,
+    desk: Arc<Mutex<Desk>>,
 }
 
 impl Agent {
     pub fn start() -> Agent {
-        Agent::overbooked(0)
+        Agent::scripted(&[])
     }
     /// One that turns so many calls away first.
-    pub fn overbooked(mut refusals: usize) -> Agent {
+    pub fn overbooked(refusals: usize) -> Agent {
+        Agent::scripted(&vec![Call::Refuse; refusals])
+    }
+    /// One that does this with its first calls.
+    pub fn scripted(calls: &[Call]) -> Agent {
         let listener = listener();
         let address = listener.local_addr().expect("bound");
         let (tell, asked) = channel();
-        let (lines, next): (Sender<Option<String>>, _) = channel();
+        let desk = Arc::new(Mutex::new(Desk { calls: calls.iter().cloned().collect(), ..Desk::default() }));
+        let own = desk.clone();
         thread::spawn(move || {
-            for mut s in listener.incoming().flatten() {
-                let mut request = String::new();
-                let mut read = BufReader::new(s.try_clone().expect("clone"));
-                while !request.ends_with("\r\n\r\n") && read.read_line(&mut request).is_ok_and(|n| n > 0) {}
-                let _ = tell.send(request.lines().next().unwrap_or("").to_string());
-                if refusals > 0 {
-                    refusals -= 1;
-                    let _ = s.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-                    continue;
-                }
-                let _ = s.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                // No line ends this watch. Guards against one that is silent for so long that the proxy leaves it,
-                // and a line that goes there all the same.
-                loop {
-                    let line = match next.recv_timeout(BEAT) {
-                        Ok(Some(line)) => line,
-                        Err(RecvTimeoutError::Timeout) => String::new(),
-                        Ok(None) | Err(RecvTimeoutError::Disconnected) => break,
-                    };
-                    let _ = write!(s, "{:x}\r\n{line}\n\r\n", line.len() + 1);
-                }
+            for stream in listener.incoming().flatten() {
+                let (desk, tell) = (own.clone(), tell.clone());
+                thread::spawn(move || {
+                    let own = stream.try_clone().expect("clone");
+                    // The desk may hold a copy.
+                    if answer_call(stream, &desk, &tell) {
+                        let _ = own.shutdown(std::net::Shutdown::Both);
+                    }
+                });
             }
         });
-        Agent { address, asked, lines }
+        Agent { address, asked, desk }
     }
     pub fn asked(&self) -> String {
         self.asked.recv_timeout(PATIENCE).expect("the agent is asked")
     }
+    /// The same, for so long at most.
+    pub fn asked_within(&self, span: Duration) -> Option<String> {
+        self.asked.recv_timeout(span).ok()
+    }
+    /// What becomes of the calls to come, before they are watches again.
+    pub fn next_calls(&self, calls: &[Call]) {
+        self.desk.lock().expect("lock").calls.extend(calls.iter().cloned());
+    }
     pub fn line(&self, line: &str) {
-        self.lines.send(Some(line.to_string())).expect("the agent runs");
+        self.put(Some(line.to_string()));
     }
     pub fn end_watch(&self) {
-        self.lines.send(None).expect("the agent runs");
+        self.put(None);
+    }
+    fn put(&self, what: Option<String>) {
+        let mut desk = self.desk.lock().expect("lock");
+        let left = match &desk.newest {
+            Some(watch) => watch.send(what).err().map(|e| e.0),
+            None => Some(what),
+        };
+        desk.waiting.extend(left);
     }
+    /// All open watches fall silent; they stay open.
+    pub fn hush(&self) {
+        let mut desk = self.desk.lock().expect("lock");
+        (desk.hushed, desk.newest) = (desk.opened, None);
+    }
+    /// Writes bytes, as they are, to the connection of the latest call.
+    pub fn raw(&self, bytes: &[u8]) -> std::io::Result<()> {
+        self.desk.lock().expect("lock").latest.as_ref().expect("a call").write_all(bytes)
+    }
+}
+
+/// Whether the connection is to be ended in order.
+fn answer_call(mut s: TcpStream, desk: &Mutex<Desk>, tell: &Sender<String>) -> bool {
+    let mut request = String::new();
+    let mut read = BufReader::new(s.try_clone().expect("clone"));
+    while !request.ends_with("\r\n\r\n") && read.read_line(&mut request).is_ok_and(|n| n > 0) {}
+    let (call, next, number) = {
+        let mut desk = desk.lock().expect("lock");
+        desk.latest = Some(s.try_clone().expect("clone"));
+        let call = desk.calls.pop_front().unwrap_or(Call::Watch);
+        let (lines, next) = channel();
+        if matches!(call, Call::Watch) {
+            desk.opened += 1;
+            desk.waiting.drain(..).for_each(|line| lines.send(line).expect("kept"));
+            desk.newest = Some(lines);
+        }
+        (call, next, desk.opened)
+    };
+    let _ = tell.send(request.lines().next().unwrap_or("").to_string());
+    match call {
+        Call::Watch => {}
+        Call::Refuse => {
+            let _ = s.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        Call::Silence => return hold(s),
+        Call::Bytes(bytes) => {
+            let _ = s.write_all(&bytes);
+            return hold(s);
+        }
+        Call::Reset(bytes) => {
+            let _ = s.write_all(&bytes);
+            // Read before it is reset: a reset may overtake what it follows.
+            while unread_by_peer(&s) {
+                thread::yield_now();
+            }
+            let _ = socket2::SockRef::from(&s).set_linger(Some(Duration::ZERO));
+            desk.lock().expect("lock").latest = None;
+            return false;
+        }
+    }
+    let _ = s.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    loop {
+        let line = match next.recv_timeout(BEAT) {
+            Ok(Some(line)) => line,
+            _ if desk.lock().expect("lock").hushed >= number => return hold(s),
+            Err(RecvTimeoutError::Timeout) => String::new(),
+            Ok(None) | Err(RecvTimeoutError::Disconnected) => return true,
+        };
+        let _ = write!(s, "{:x}\r\n{line}\n\r\n", line.len() + 1);
+    }
+}
+
+/// Whether something that was written to this connection is still on its way. The table of sockets tells.
+fn unread_by_peer(s: &TcpStream) -> bool {
+    let (Ok(own), Ok(peer)) = (s.local_addr(), s.peer_addr()) else { return false };
+    let hex = |a: SocketAddr| match a.ip() {
+        IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), a.port()),
+        IpAddr::V6(_) => String::new(),
+    };
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let row = table.lines().find(|l| l.contains(&format!(" {} {} ", hex(peer), hex(own))));
+    let queues = row.and_then(|l| l.split_whitespace().nth(4)).unwrap_or("00000000:00000000");
+    !queues.ends_with(":00000000")
+}
+
+/// Keeps a connection open and says nothing, until the other side ends it.
+fn hold(mut s: TcpStream) -> bool {
+    while matches!(s.read(&mut [0; 1024]), Ok(1..)) {}
+    true
 }
 
 /// A list, in discovery's form; the first host is the primary of group 3, and all started long ago.
@@ -437,13 +557,20 @@
     (status, answer.split_once("\r\n\r\n").expect("a body").1.to_string())
 }
 
-/// Starts the program on a configuration, whose file is returned too.
+/// Starts the program on a configuration, whose file is returned too. The machine holds it to as many descriptors as its
+/// configuration says, where it says so.
 pub fn program(config: &str, env: &[(&str, &str)]) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let name = format!("sillfold-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("the configuration is written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_sillfold"));
+    let sockets = config
+        .split("\"sockets\":")
+        .nth(1)
+        .map(|n| n.split(|c: char| !c.is_ascii_digit()).next().unwrap_or(""));
+    let limit = sockets.filter(|n| n.parse().is_ok_and(|n: u32| n >= 96)).unwrap_or("1024");
+    let mut command = Command::new("sh");
+    command.args(["-c", "ulimit -n \"$1\"; exec \"$0\""]).arg(env!("CARGO_BIN_EXE_sillfold")).arg(limit);
     for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONSOLE", "TMPDIR"] {
         command.env_remove(key);
     }
