Begin a repeat of a keyed write inside its window, however late its connection comes up

Seen in the code: may_send (logic.rs) holds a repeat back once the window less 5 % and 50 ms is over, but at the moment of the order; the connection for it may come up later by the whole time-out of a dial (250 ms of a window of 1.2 s), and Hosts::attempt wrote then. Ruled out: the beginning of the window, which is the order of the first attempt that may have run, and so earlier than its first byte; long statements, which are never sent twice once a part is gone.

tests/crossings.rs: a session that comes up 900 ms late beside a window of 700 ms; without the one condition the write ran twice, with it the client hears that it may have run. tests/scenarios.rs: until when a repeat may begin, pure.

--- a/src/api.rs
+++ b/src/api.rs
@@ -51,6 +51,20 @@
     Unsafe,
 }
 
+impl Effect {
+    /// Until when a request may be sent once more, as its first send that may have run tells; `plain` ones bring no key.
+    pub fn repeatable_until(&self, first: Option<Micros>, plain: bool) -> Micros {
+        match (*self, first) {
+            (_, None) | (Effect::Safe, _) => Micros::MAX,
+            // A zone need not be that of the next server, and without a key nobody drops a repeat.
+            (Effect::Unsafe | Effect::Keyed(DedupScope::Zone, _), _) => 0,
+            (Effect::Keyed(..), _) if plain => 0,
+            // Less what the way there and other clocks may take.
+            (Effect::Keyed(_, window), Some(first)) => first + (window - window / 20).saturating_sub(50_000),
+        }
+    }
+}
+
 /// One class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -434,6 +448,8 @@
         server: ServerId,
         /// Its time-out; 0 means until the client gives up.
         timeout: Micros,
+        /// It must not begin after this, however late its connection comes up; `Micros::MAX` where nothing binds it.
+        begin_by: Micros,
     },
     /// Final answer: refused, a further try is harmless.
     Refuse {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -459,18 +459,14 @@
         if r.closed || r.streaming.is_some() || r.attempts.len() >= self.set.limits.max_attempts {
             return false;
         }
-        match self.set.classes[r.class].effect {
-            // Never two at once, even where copies are allowed.
-            _ if r.outstanding() > 0 => false,
-            Effect::Safe => true,
-            Effect::Unsafe => r.may_have_run().is_none(),
-            // Without a key nobody drops a repeat.
-            Effect::Keyed(..) if r.plain => r.may_have_run().is_none(),
-            // Every scope covers the request's own group, except a zone; leave room for delivery.
-            Effect::Keyed(scope, window) => r.may_have_run().is_none_or(|a| {
-                scope != DedupScope::Zone && self.now - a.sent + 50_000 < window - window / 20
-            }),
-        }
+        // Never two at once, even where copies are allowed.
+        r.outstanding() == 0 && self.now < self.repeatable_until(r)
+    }
+
+    /// Until when another attempt may begin.
+    fn repeatable_until(&self, r: &Request) -> Micros {
+        let first = r.may_have_run().map(|a| a.sent);
+        self.set.classes[r.class].effect.repeatable_until(first, r.plain)
     }
 
     fn may_refuse(&self, r: &Request) -> bool {
@@ -553,6 +549,7 @@
     }
 
     fn send(&mut self, id: RequestId, i: usize) {
+        let Some(begin_by) = self.requests.get(&id).map(|r| self.repeatable_until(r)) else { return };
         let Some(r) = self.requests.get_mut(&id) else { return };
         let until = r.useful_until(&self.set.classes[r.class]);
         let timeout = if until < r.give_up_at { until.saturating_sub(self.now).max(1) } else { 0 };
@@ -561,7 +558,7 @@
         let s = &mut self.servers[i];
         s.in_flight += u32::from(!r.coming);
         s.count(Q_OLD);
-        self.out.push(Action::Send { id, server: s.id, timeout });
+        self.out.push(Action::Send { id, server: s.id, timeout, begin_by });
     }
 
     /// The final answer of a request that no attempt can serve any more, at once.
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -77,8 +77,8 @@
 /// What a request's task is told to do next.
 #[derive(Debug)]
 pub enum Order {
-    /// Start an attempt, and stop waiting for it at this time.
-    Attempt { server: ServerId, number: u8, until: Micros },
+    /// Start an attempt, unless its connection comes up later than `begin_by`, and stop waiting for it at `until`.
+    Attempt { server: ServerId, number: u8, until: Micros, begin_by: Micros },
     /// Withdraw the attempt that is out.
     Withdraw,
     /// Final: refused, with advice when to come again.
@@ -482,13 +482,13 @@
         inner.router.handle(self.clock.now(), &[event], &mut actions);
         for action in actions.drain(..) {
             match action {
-                Action::Send { id, server, timeout } => {
+                Action::Send { id, server, timeout, begin_by } => {
                     let Some(open) = inner.open.get_mut(&id) else { continue };
                     let until = match timeout {
                         0 => open.give_up_at,
                         span => open.give_up_at.min(self.clock.now().saturating_add(span)),
                     };
-                    let order = Order::Attempt { server, number: open.attempts, until };
+                    let order = Order::Attempt { server, number: open.attempts, until, begin_by };
                     open.attempts += 1;
                     tell(open, order);
                 }
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -307,14 +307,15 @@
         }
     }
 
-    /// One attempt at a statement that is whole, from the choice of a connection to the answer. It ends at
-    /// `until` at the latest; dropping the future closes the connection, which withdraws the attempt.
+    /// One attempt at a statement that is whole, from the choice of a connection to the answer. It begins by `begin_by`
+    /// or not at all, and ends at `until` at the latest; dropping the future closes the connection, which withdraws the attempt.
     /// `written` is called once the last byte is.
     pub async fn attempt(
-        &self, server: ServerId, statement: &Statement, writes: bool, until: Micros, written: impl FnOnce(),
+        &self, server: ServerId, statement: &Statement, writes: bool, (until, begin_by): (Micros, Micros),
+        written: impl FnOnce(),
     ) -> Attempted {
         let deadline = self.core.clock.instant(until);
-        let opened = match self.open(server, until).await {
+        let opened = match self.open(server, until, begin_by).await {
             Ok(opened) => opened,
             Err(outcome) => return Attempted::without_answer(outcome),
         };
@@ -404,7 +405,7 @@
     }
 
     /// A connection on which an attempt may be written, or the outcome that its lack amounts to.
-    pub async fn open(&self, server: ServerId, until: Micros) -> Result<Opened, Outcome> {
+    pub async fn open(&self, server: ServerId, until: Micros, begin_by: Micros) -> Result<Opened, Outcome> {
         let deadline = self.core.clock.instant(until);
         let begun = world::now();
         let dialled = (begun + self.dial_timeout).min(deadline);
@@ -420,6 +421,10 @@
         if self.off_for(server).is_some_and(|off| off + DRAIN_MARGIN > self.drain_grace) {
             return Err(Outcome::Moot);
         }
+        // Guards against a repeat whose connection came up after its key may be forgotten.
+        if self.core.clock.now() >= begin_by && !mutants::on("late connections are used") {
+            return Err(Outcome::Moot);
+        }
         Ok(Opened { server, connection })
     }
 
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -104,8 +104,8 @@
                     return last(why);
                 }
             };
-            let (server, number, until) = match next {
-                Order::Attempt { server, number, until } => (server, number, until),
+            let (server, number, until, begin_by) = match next {
+                Order::Attempt { server, number, until, begin_by } => (server, number, until, begin_by),
                 Order::Refuse { retry_in } => return Some(Verdict::Refused { retry_in }),
                 Order::Fail => return Some(Verdict::Failed),
                 // The attempt ended on its own just before.
@@ -116,7 +116,7 @@
             // it is closed before the module hears of it, so that no second copy can be out.
             let mut happened = if coming > 0 {
                 let upload = async {
-                    let opened = hosts.open(server, until).await.map_err(Upload::NoConnection)?;
+                    let opened = hosts.open(server, until, begin_by).await.map_err(Upload::NoConnection)?;
                     self.upload(opened, statement, left).await
                 };
                 let upload = async { Happened::Uploaded(upload.await) };
@@ -127,7 +127,7 @@
                 };
                 future::or(upload, future::or(ordered, cut_off)).await
             } else {
-                let attempt = hosts.attempt(server, statement, writes, until, written);
+                let attempt = hosts.attempt(server, statement, writes, (until, begin_by), written);
                 let attempt = async { Happened::Ended(attempt.await) };
                 self.beside(attempt, &ticket, Happened::Ordered, Happened::Abandoned).await
             };
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -249,3 +249,20 @@
     assert_eq!(proxy.client().ask(&read("1", "history", 9000)).value.as_deref(), Some("v"));
     assert!(proxy.memory_kb() < 40_000, "{} KB", proxy.memory_kb());
 }
+
+/// The first attempt may have run; the connection for the next comes up when the key may be forgotten.
+#[test]
+fn a_keyed_write_does_not_go_again_over_a_connection_that_came_up_after_its_window() {
+    let host = Host::late(std::time::Duration::from_millis(900));
+    let window = |config: String| config.replace("\"dedupWindowUs\":9000000", "\"dedupWindowUs\":700000");
+    let proxy = Proxy::start_with(&[&host], 1024, window);
+    let answer = proxy.client().ask(&write("1", 9_000));
+    assert_eq!((answer.code.as_str(), answer.end), ("40003", End::Ready), "{}", answer.message);
+    assert!(host.query().contains("id=1,"));
+    assert_eq!(host.next(), Seen::Closed);
+    assert_eq!(host.next(), Seen::Opened);
+    // The late connection is there for whoever comes next, or closed; no query came over it before.
+    let next = proxy.client().ask(&write("2", 9_000));
+    assert_eq!(next.value.as_deref(), Some("v"));
+    assert!(host.query().contains("id=2,"));
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -193,7 +193,7 @@
         self.routers[router].handle(self.now, &[event], &mut actions);
         for action in actions {
             match action {
-                Action::Send { id, server, timeout } => self.sent(router, id, server, timeout),
+                Action::Send { id, server, timeout, .. } => self.sent(router, id, server, timeout),
                 Action::Refuse { id, .. } | Action::Fail(id) => {
                     if let Some(out) = self.out.remove(&(router, id)) {
                         self.seen.refused_unsent += u32::from(out.attempts == 0);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -462,6 +462,33 @@
     assert!(failed(&out, 1));
 }
 
+/// The first attempt is not bound; a repeat has to begin before the key may be forgotten, and a read never has to.
+#[test]
+fn a_repeat_of_a_keyed_write_tells_until_when_it_may_begin() {
+    let by = |out: &[Action]| {
+        out.iter().find_map(|a| match a {
+            Action::Send { id: 1, begin_by, .. } => Some(*begin_by),
+            _ => None,
+        })
+    };
+    for (class, window) in [(5, Some(1_000 * MS)), (0, None)] {
+        let mut rig = Rig::new(settings());
+        let first = rig.now;
+        let out = rig.ask(1, class);
+        assert_eq!(by(&out), Some(Micros::MAX));
+        let server = target(&out, 1).expect("it is sent");
+        let mut out = rig.end(1, server, Outcome::Reset, 5 * MS, Role::Primary, 0);
+        for _ in 0..20 {
+            out.extend(rig.at(10 * MS, &[Event::Timer(0)]));
+        }
+        let Some(again) = by(&out) else { panic!("class {class} is not sent again: {out:?}") };
+        match window {
+            Some(window) => assert!(again > first && again <= first + window - 50 * MS, "{}", again - first),
+            None => assert_eq!(again, Micros::MAX),
+        }
+    }
+}
+
 #[test]
 fn draining_ends_reads_at_once_and_writes_inside_the_grace() {
     let mut rig = Rig::new(settings());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -82,6 +82,8 @@
     connections: Arc<Mutex<Vec<TcpStream>>>,
     /// Told after each reply is written.
     replies: Receiver<()>,
+    /// By how much sessions come up late, but for the first.
+    late: Arc<Mutex<Duration>>,
 }
 
 impl Host {
@@ -94,15 +96,23 @@
         let connections: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let accepted = connections.clone();
         let (replied, replies) = channel();
+        let late: Arc<Mutex<Duration>> = Arc::default();
+        let delay = late.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let copy = || stream.try_clone().expect("clone");
                 accepted.lock().expect("lock").push(copy());
                 let own = copy();
                 let (script, count, tell) = (script.clone(), count.clone(), tell.clone());
+                let delay = if accepted.lock().expect("lock").len() > 1 {
+                    *delay.lock().expect("lock")
+                } else {
+                    Duration::ZERO
+                };
                 let replied = replied.clone();
                 thread::spawn(move || {
                     let _ = tell.send(Seen::Opened);
+                    thread::sleep(delay);
                     let _ = converse(stream, &*script, &count, (&tell, &replied));
                     // `end_connections` holds a copy.
                     let _ = own.shutdown(std::net::Shutdown::Both);
@@ -110,7 +120,13 @@
                 });
             }
         });
-        Host { address, seen, connections, replies }
+        Host { address, seen, connections, replies, late }
+    }
+    /// One whose first session comes up at once, and the others so much later; it closes on the first query.
+    pub fn late(by: Duration) -> Host {
+        let host = Host::start(|n, _| if n == 0 { Reply::Close(vec![]) } else { Reply::Row("v") });
+        *host.late.lock().expect("lock") = by;
+        host
     }
     /// One at which no session ever comes up.
     pub fn mute() -> Host {
@@ -124,7 +140,7 @@
                 let _ = tell.send(Seen::Opened);
             }
         });
-        Host { address, seen, connections: Arc::default(), replies: channel().1 }
+        Host { address, seen, connections: Arc::default(), replies: channel().1, late: Arc::default() }
     }
     /// Writes this to all of its connections and ends them.
     pub fn end_connections(&self, last: &[u8]) {
