--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,8 +3,9 @@
 
 mod support;
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::Shutdown;
+use std::process::Command;
 use std::sync::Mutex;
 use std::sync::mpsc::{Sender, channel};
 use std::time::Instant;
@@ -266,3 +267,51 @@
     assert_eq!(next.value.as_deref(), Some("v"));
     assert!(host.query().contains("id=2,"));
 }
+
+/// The configuration is a pipe: the program stands in the middle of its start until the test writes to it.
+#[test]
+fn signals_before_the_configuration_is_read_end_nothing_outright() {
+    let agent = Agent::start();
+    let pipe = std::env::temp_dir().join(format!("sillfold-{}-early", std::process::id()));
+    assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo").success());
+    let config = |listen: &str| {
+        let agent = agent.address;
+        format!(
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{agent}","seed":"1f","linger_ms":1,"settings":{SETTINGS}}}"#
+        )
+    };
+    for (signal, served) in [("TERM", false), ("HUP", true)] {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_sillfold"))
+            .env("LB_CONFIG", &pipe)
+            .env_remove("TMPDIR")
+            .stderr(std::process::Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        // Returns once the program reads.
+        let mut writer = std::fs::OpenOptions::new().write(true).open(&pipe).expect("the program reads");
+        let id = child.id();
+        let tell = |signal: &str| {
+            let kill = format!("kill -{signal} {id}");
+            assert!(Command::new("sh").args(["-c", &kill]).status().expect("kill").success());
+        };
+        tell(signal);
+        writer.write_all(config("127.0.0.1:0").as_bytes()).expect("the program reads");
+        drop(writer);
+        let mut lines = BufReader::new(child.stderr.take().expect("piped"));
+        let mut log = String::new();
+        if served {
+            while !log.contains("serves on") {
+                assert!(lines.read_line(&mut log).expect("text") > 0, "after {signal}: {log}");
+            }
+            // It was heard: the configuration is read again.
+            let again = std::fs::OpenOptions::new().write(true).open(&pipe);
+            again.expect("the program reads").write_all(config("127.0.0.1:0").as_bytes()).expect("it reads");
+            tell("TERM");
+        }
+        lines.read_to_string(&mut log).expect("text");
+        let status = child.wait().expect("it ends");
+        assert_eq!(status.code(), Some(0), "after {signal}: {status}, {log}");
+        assert_eq!(log.contains("reloaded"), served, "{log}");
+    }
+    std::fs::remove_file(&pipe).expect("removed");
+}
