Count what an answer has told of its host, also where it does not end or nobody waits

Ruled out: answers that say so themselves (is_stale), notes of answers that break off, which were kept.

Change: an attempt's notes are its task's, and go to the module however it ends; while one is out the answer comes before the departure, which is looked at again before anything begins. tests/crossings.rs: two stories, both failing before.

--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -309,10 +309,10 @@
 
     /// One attempt at a statement that is whole, from the choice of a connection to the answer. It begins by `begin_by`
     /// or not at all, and ends at `until` at the latest; dropping the future closes the connection, which withdraws the attempt.
-    /// `written` is called once the last byte is.
+    /// `written` is called once the last byte is, and `heard` holds what its answer has told of the server so far.
     pub async fn attempt(
         &self, server: ServerId, statement: &Statement, writes: bool, (until, begin_by): (Micros, Micros),
-        written: impl FnOnce(),
+        written: impl FnOnce(), heard: &Cell<Report>,
     ) -> Attempted {
         let deadline = self.core.clock.instant(until);
         let opened = match self.open(server, until, begin_by).await {
@@ -330,7 +330,7 @@
         if statement.is_plain() {
             return self.plain_answer(opened, until, writes).await;
         }
-        self.answer(opened, until).await
+        self.answer(opened, until, heard).await
     }
 
     /// The answer to a plain statement: whole where it fits into what is held, else its beginning. Until then
@@ -428,11 +428,12 @@
         Ok(Opened { server, connection })
     }
 
-    /// The answer to what was written, by this time at the latest.
-    pub async fn answer(&self, mut opened: Opened, until: Micros) -> Attempted {
+    /// The answer to what was written, by this time at the latest. What it has told of the server counts, also where it
+    /// does not end in time: guards against a primary that says it is none and is read from as one.
+    pub async fn answer(&self, mut opened: Opened, until: Micros, heard: &Cell<Report>) -> Attempted {
         let soon = if mutants::on("an attempt is left behind") { 50_000 } else { Micros::MAX };
         let until = until.min(self.core.clock.now().saturating_add(soon));
-        match by(self.core.clock.instant(until), opened.connection.answer()).await {
+        match by(self.core.clock.instant(until), opened.connection.answer(heard)).await {
             Some(Answered::Whole(attempted, reusable)) => {
                 if reusable {
                     self.give_back(opened.server, opened.connection);
@@ -452,7 +453,7 @@
                 std::mem::forget(opened);
                 Attempted::without_answer(Outcome::Reset)
             }
-            None => Attempted::without_answer(Outcome::Timeout),
+            None => Attempted { note: heard.get(), ..Attempted::without_answer(Outcome::Timeout) },
         }
     }
 
@@ -478,7 +479,8 @@
             let mut query = Vec::new();
             pg::put_query(&mut query, "SHOW usage");
             connection.stream.write_all(&query).await.ok()?;
-            let Answered::Whole(attempted, reusable) = connection.answer().await else { return None };
+            let heard = Cell::default();
+            let Answered::Whole(attempted, reusable) = connection.answer(&heard).await else { return None };
             if reusable {
                 self.give_back(server, connection);
             }
@@ -640,7 +642,7 @@
 
     /// Reads the answer to the query that is out: what it amounts to, and whether the connection
     /// may serve another.
-    async fn answer(&mut self) -> Answered {
+    async fn answer(&mut self, heard: &Cell<Report>) -> Answered {
         let (mut note, mut rejected) = (Report::default(), None);
         let (mut column, mut value, mut row, mut refused) = (None, None, None, None);
         let ended = loop {
@@ -648,6 +650,7 @@
                 Ok(Backend::ReadyForQuery) => break None,
                 Ok(Backend::ParameterStatus { name, value }) => {
                     note_from(&mut note, &name, &value);
+                    heard.set(note);
                 }
                 Ok(Backend::RowDescription(mut columns)) if columns.len() == 1 => column = columns.pop(),
                 Ok(Backend::DataRow(mut values)) if values.len() == 1 && value.is_none() => {
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -88,16 +88,16 @@
         };
         let mut order = None;
         loop {
-            let next = match order.take() {
-                Some(order) => Ok(order),
-                // The client comes first: guards against an attempt that begins for one that has left. What is still to
-                // come of a long statement stays where it is until a host is chosen.
-                None => {
-                    let abandoned = async { Err(self.line.abandoned(*left == 0).await) };
-                    future::or(abandoned, async { Ok(ticket.order().await) }).await
+            // The client comes first: guards against an attempt that begins for one that has left. What is still to
+            // come of a long statement stays where it is until a host is chosen.
+            let abandoned = async { Err(self.line.abandoned(*left == 0).await) };
+            let ordered = async {
+                match order.take() {
+                    Some(order) => Ok(order),
+                    None => Ok(ticket.order().await),
                 }
             };
-            let next = match next {
+            let next = match future::or(abandoned, ordered).await {
                 Ok(order) => order,
                 Err(why) => {
                     ticket.abandoned();
@@ -111,6 +111,7 @@
                 // The attempt ended on its own just before.
                 Order::Withdraw => continue,
             };
+            let heard = Cell::default();
             let (mut sent, coming, sent_at) = (world::now(), *left, core.clock.now());
             // Whichever comes first; the others are dropped here, and with an attempt its connection:
             // it is closed before the module hears of it, so that no second copy can be out.
@@ -127,7 +128,7 @@
                 };
                 future::or(upload, future::or(ordered, cut_off)).await
             } else {
-                let attempt = hosts.attempt(server, statement, writes, (until, begin_by), written);
+                let attempt = hosts.attempt(server, statement, writes, (until, begin_by), written, &heard);
                 let attempt = async { Happened::Ended(attempt.await) };
                 self.beside(attempt, &ticket, Happened::Ordered, Happened::Abandoned).await
             };
@@ -142,7 +143,7 @@
                 let give_up_at = give_up_at(statement, core.clock.now(), self.way_back);
                 written();
                 ticket.whole(give_up_at);
-                let answer = async { Happened::Ended(hosts.answer(opened, give_up_at).await) };
+                let answer = async { Happened::Ended(hosts.answer(opened, give_up_at, &heard).await) };
                 happened = self.beside(answer, &ticket, Happened::Ordered, Happened::Abandoned).await;
             }
             let ended = |outcome, note| {
@@ -200,7 +201,7 @@
                     }
                 }
                 Happened::Ordered(other) => {
-                    ended(Outcome::Cancelled, Default::default());
+                    ended(Outcome::Cancelled, heard.get());
                     order = Some(other);
                 }
                 Happened::Uploaded(_) => {
@@ -210,21 +211,22 @@
                 }
                 Happened::Abandoned(why) => {
                     ticket.abandoned();
-                    ended(Outcome::Cancelled, Default::default());
+                    ended(Outcome::Cancelled, heard.get());
                     return last(why);
                 }
             }
         }
     }
 
-    /// The work, unless the client has left, the module orders something else before, or the stop's time is over.
+    /// The work, unless the module orders something else before, the client leaves, or the stop's time is over. An answer
+    /// that is here comes first, for what it tells of its server; whether another attempt begins is looked at behind it.
     async fn beside<T>(
         &mut self, work: impl Future<Output = T>, ticket: &Ticket<'_>, ordered: impl FnOnce(Order) -> T,
         abandoned: impl FnOnce(Abandoned) -> T,
     ) -> T {
         let ordered = async { ordered(ticket.order().await) };
         let abandoned = async { abandoned(self.line.abandoned(true).await) };
-        future::or(abandoned, future::or(work, ordered)).await
+        future::or(work, future::or(ordered, abandoned)).await
     }
 
     /// Passes on a long statement as its client writes it, up to its last byte.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -315,3 +315,39 @@
     }
     std::fs::remove_file(&pipe).expect("removed");
 }
+
+/// An answer up to its row's end, without the role and the end that follow.
+fn row_alone() -> Vec<u8> {
+    let mut whole = row("v");
+    let rest = [message(b'S', b"server_role\0writer\0"), message(b'Z', b"I")].concat();
+    assert!(whole.ends_with(&rest));
+    whole.truncate(whole.len() - rest.len());
+    whole
+}
+
+/// A primary that says it is none, in an answer that nobody waits for to its end.
+#[test]
+fn what_an_answer_tells_of_its_host_counts_though_the_answer_does_not_end_in_time() {
+    let told = [row_alone(), message(b'S', b"server_role\0reader\0")].concat();
+    let host = Host::start(move |_, _| Reply::Bytes(told.clone()));
+    let proxy = Proxy::start(&[&host], 1024);
+    assert_eq!(proxy.client().ask(&read("1", "browse", 700)).code, "53300");
+    proxy.logged("is no longer primary");
+}
+
+/// The same, where the client leaves as the answer comes.
+#[test]
+fn what_an_answer_tells_of_its_host_counts_though_its_client_left_at_that_moment() {
+    let (host, tell) = told();
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    client.send(&query(&read("1", "history", 20_000)));
+    assert!(host.query().contains("id=1,"));
+    proxy.freeze();
+    drop(client);
+    let text = [row_alone(), message(b'S', b"server_role\0reader\0"), message(b'Z', b"I")].concat();
+    tell.send(Reply::Bytes(text)).expect("the host waits");
+    host.replied();
+    proxy.thaw();
+    proxy.logged("is no longer primary");
+}
