Take a datagram at the very end of the window once, not twice

Fault: Heard::takes forgot the last number when the next is exactly 64 ahead (door.rs), though 64 behind is still looked at. The number keeps its bit to the end of the window. A test at 1, 63, 64 and 65 ahead; the drawn case was the failing one before.

--- a/crates/talk/src/door.rs
+++ b/crates/talk/src/door.rs
@@ -65,7 +65,9 @@
     fn takes(&mut self, number: u32) -> bool {
         if number > self.last {
             let ahead = number - self.last;
-            self.before = if ahead < WINDOW { (self.before << ahead) | 1 << (ahead - 1) } else { 0 };
+            // The last one keeps its bit up to the very end of the window, where all before it have left.
+            let before = self.before.checked_shl(ahead).unwrap_or(0);
+            self.before = if ahead <= WINDOW { before | 1 << (ahead - 1) } else { 0 };
             self.last = number;
             return true;
         }
--- a/crates/talk/tests/talk.rs
+++ b/crates/talk/tests/talk.rs
@@ -87,6 +87,18 @@
     }
 }
 
+/// The newest is so far ahead that the one before it stands at the very end of the window.
+#[test]
+fn a_datagram_at_the_end_of_the_window_is_taken_once() {
+    for ahead in [1, 63, 64, 65] {
+        let (mut from, mut to) = (door(1), door(0));
+        let sent: Vec<_> = (0..=ahead).map(|n| from.pack(&[stands(n)]).0).collect();
+        assert!(to.take(Some(1), sent[0].bytes(), NOW).is_ok());
+        assert!(to.take(Some(1), sent[ahead as usize].bytes(), NOW).is_ok());
+        assert_eq!(to.take(Some(1), sent[0].bytes(), NOW), Err(Refused::Repeated), "{ahead} ahead");
+    }
+}
+
 #[test]
 fn only_a_proxy_of_the_list_is_believed_and_only_as_itself() {
     let (datagram, _) = door(1).pack(&[stands(7)]);
