--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -107,42 +107,35 @@
     assert!(proxy.wait().success());
 }
 
-/// An error that would be followed by another attempt, and the departure, at the same moment.
-#[test]
-fn no_further_attempt_begins_for_a_client_that_left_as_the_answer_came() {
+/// Asks these at once; the answer to the first and the client's departure come at the same moment. The next client's
+/// request has to be the next that the host sees.
+fn leaves_as_the_answer_comes(ids: &[&str], reply: Reply) {
     let (host, tell) = told();
     let proxy = Proxy::start(&[&host], 1024);
     let mut client = proxy.client();
-    client.send(&query(&read("1", "history", 20_000)));
-    assert!(host.query().contains("id=1,"));
+    let all: Vec<u8> = ids.iter().flat_map(|id| query(&read(id, "history", 20_000))).collect();
+    client.send(&all);
+    assert!(host.query().contains(&format!("id={},", ids[0])));
     proxy.freeze();
     drop(client);
-    tell.send(Reply::Error("XX000")).expect("the host waits");
+    tell.send(reply).expect("the host waits");
     host.replied();
     proxy.thaw();
-    // The next client's request is the next that the host sees.
     tell.send(Reply::Row("v")).expect("the host waits");
-    assert_eq!(proxy.client().ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
-    assert!(host.query().contains("id=2,"));
+    assert_eq!(proxy.client().ask(&read("9", "history", 9000)).value.as_deref(), Some("v"));
+    assert!(host.query().contains("id=9,"));
 }
 
-/// Two requests at once, and the end: the second must not begin because the first has its answer.
+/// An error that would be followed by another attempt.
+#[test]
+fn no_further_attempt_begins_for_a_client_that_left_as_the_answer_came() {
+    leaves_as_the_answer_comes(&["1"], Reply::Error("XX000"));
+}
+
+/// The second must not begin because the first has its answer.
 #[test]
 fn no_request_behind_another_begins_for_a_client_that_left() {
-    let (host, tell) = told();
-    let proxy = Proxy::start(&[&host], 1024);
-    let mut client = proxy.client();
-    let two = [query(&read("1", "history", 20_000)), query(&read("2", "history", 20_000))].concat();
-    client.send(&two);
-    assert!(host.query().contains("id=1,"));
-    proxy.freeze();
-    drop(client);
-    tell.send(Reply::Row("v")).expect("the host waits");
-    host.replied();
-    proxy.thaw();
-    tell.send(Reply::Row("v")).expect("the host waits");
-    assert_eq!(proxy.client().ask(&read("3", "history", 9000)).value.as_deref(), Some("v"));
-    assert!(host.query().contains("id=3,"));
+    leaves_as_the_answer_comes(&["1", "2"], Reply::Row("v"));
 }
 
 /// It has sent more than is read ahead, so its end is behind bytes that nobody reads.
