--- a/src/api.rs
+++ b/src/api.rs
@@ -29,6 +29,17 @@
     Write,
 }
 
+impl Need {
+    /// Whether data as of `position` is too old for a read that was sent at this time and has to see `token`.
+    pub fn is_missed(&self, position: Micros, token: Micros, sent: Micros) -> bool {
+        match *self {
+            Need::Bounded(bound) => position.saturating_add(bound) < sent,
+            Need::Session => position < token,
+            Need::Any | Need::Fresh | Need::Write => false,
+        }
+    }
+}
+
 /// Where repeats of a keyed request are recognised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DedupScope {
@@ -205,24 +216,6 @@
     pub over_quota_worth: f64,
 }
 
-impl Settings {
-    /// Whether an answer to what was sent at this time says itself that it is older than the read may be: it counts as
-    /// turned away. Guards against a primary that handed over, and is read from as one until its role is heard of. Only
-    /// where servers do not check and answers tell positions; a primary stands at the present.
-    pub fn is_stale(&self, class: u8, token: Option<Micros>, note: &Report, sent: Micros) -> bool {
-        let tells = self.lag_check == LagCheck::Unchecked && self.positions;
-        let told = note.position.filter(|_| tells && note.role == Some(Role::Replica));
-        let (Some(position), Some(class)) = (told, self.classes.get(usize::from(class))) else {
-            return false;
-        };
-        match class.need {
-            Need::Bounded(bound) => position.saturating_add(bound) < sent,
-            Need::Session => token.is_some_and(|token| position < token),
-            Need::Any | Need::Fresh | Need::Write => false,
-        }
-    }
-}
-
 /// A server's state in the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Listed {
@@ -378,6 +371,13 @@
     Outcome(Returned),
     /// The client left; the request is closed.
     ClientGone(RequestId),
+    /// An answer that is not whole yet has told this of its server.
+    Noted {
+        /// The server.
+        server: ServerId,
+        /// What it has told.
+        note: Report,
+    },
     /// A streamed answer began; the attempt is the client's now.
     Streaming(RequestId, u8),
     /// A timer set earlier fell due.
@@ -448,8 +448,6 @@
         server: ServerId,
         /// Its time-out; 0 means until the client gives up.
         timeout: Micros,
-        /// It must not begin after this, however late its connection comes up; `Micros::MAX` where nothing binds it.
-        begin_by: Micros,
     },
     /// Final answer: refused, a further try is harmless.
     Refuse {
--- a/src/bin/sillfold-benchlink/main.rs
+++ b/src/bin/sillfold-benchlink/main.rs
@@ -264,7 +264,7 @@
 fn write_action(reply: &mut Reply, who: u32, action: Action) {
     match action {
         // The simulator's wire has no word for when an attempt must have begun.
-        Action::Send { id, server, timeout, begin_by: _ } => {
+        Action::Send { id, server, timeout } => {
             let timeout = u32::try_from(timeout).unwrap_or(u32::MAX);
             reply.record(1, who).u32(id).u32(server).u32(timeout);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 
 pub mod api;
 pub mod logic;
+mod sessions;
 pub mod settings;
 mod state;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,10 +1,12 @@
 //! Every decision of the router. The interface (settings, events, actions) is `src/api.rs`.
 //!
 //! Ordinary path: each eligible replica is scored by tail-adjusted latency x (own in-flight + 1,
-//! averaged) cubed + beta x wait, and a read goes to a random one within 20% of the lowest score.
+//! averaged) cubed + wait, and a read goes to a random one within 20% of the lowest score.
 //! What departs from that, and when, is listed in `docs/design.md`.
 
 use crate::api::*;
+use crate::mutants;
+use crate::sessions::{PRESENT, Sessions};
 pub use crate::state::tail_adjusted;
 use crate::state::*;
 use oorandom::Rand64;
@@ -14,8 +16,6 @@
 
 /// p99 at or over this multiple of p90 marks a tail worth clamping (thesis: 2).
 pub const ALPHA: f64 = 2.0;
-/// Weight of the averaged wait in the score.
-const BETA: f64 = 1.0;
 /// A read goes to a random replica within this multiple of the lowest score.
 const NEAR: f64 = 1.2;
 /// Weight of the old value in the in-flight average: in-flight is exact, so it is followed closely.
@@ -44,11 +44,6 @@
 const GATHER: f64 = 16.0;
 /// A replica known outside the bound is probed at most this often.
 const PROBE_GAP: Micros = 500_000;
-/// Probes and bytes to peers follow the router's own requests, so that hundreds of routers stay as cheap
-/// as two: what each request adds, and the probes that may gather.
-const PROBE_SHARE: f64 = 0.05;
-const PROBE_MAX: f64 = 10.0;
-const PEER_BYTES: f64 = 25.0;
 /// An error share of one multiplies a replica's score by this + 1; the share halves in so long, so that it
 /// is tried again. What one error adds: few servers fail now and then, those that do fail most.
 const ERROR_POINTS: f64 = 10.0;
@@ -57,9 +52,6 @@
 /// First ejection, and first wait after a failed subscription; doubled with each repeat, so often at most.
 const BACKOFF: Micros = 500_000;
 const DOUBLINGS: u32 = 3;
-/// Retry budget: what each request adds, what it holds at most; a retry takes 1.
-const RETRY_SHARE: f64 = 0.15;
-const RETRY_MAX: f64 = 10.0;
 /// Attempts a router may have outstanding at a server it knows nothing of.
 const LIMIT: f64 = 4.0;
 /// An answer over this share of its aim is late; over the second share of late ones the limit is cut
@@ -106,20 +98,18 @@
 const SCARCE: f64 = 0.2;
 const REFUSED: Micros = 50_000;
 const SCARCE_OLD: f64 = 0.95;
-/// So many servers of a room without an answer, more where a router sees more (`blur`), and none from the
-/// room between: it is held to be lost for so long after the last. One of hundreds sees too little of each.
-const DARK: f64 = 2.7;
-const DARK_FOR: Micros = 4_000_000;
+/// So many servers of a zone without an answer, more where a router sees more (`blur`), and none from the
+/// zone between: it is held to be lost for so long after the last. One of hundreds sees too little of each.
+const ZONE_SILENT: f64 = 2.7;
+const ZONE_LOST_FOR: Micros = 4_000_000;
 /// Known positions are kept fresh for so long after a plain request.
 const PLAIN_FOR: Micros = 5_000_000;
 /// While a bounded read was held so lately, members inside the bound are left to such.
 const SHORT_FOR: Micros = 300_000;
-/// Sessions remembered; past it the oldest fold into a floor that binds every session.
-const SESSIONS: usize = 50_000;
 
 /// The cubic score.
 pub fn score(latency: f64, q: f64, wait: f64) -> f64 {
-    q * q * q * latency + BETA * wait
+    q * q * q * latency + wait
 }
 
 /// The decision module of one router.
@@ -139,20 +129,8 @@
     tightest: Micros,
     /// Servers that operators leave out, and since when; no news of the list touches it.
     out_by_hand: BTreeMap<ServerId, Micros>,
-    mean: f64,
-    tokens: f64,
-    probes: f64,
-    chat: f64,
-    /// Recent share of attempts that got no connection.
-    unconnected: f64,
-    /// Reads that came to nothing of late, of all.
-    jam: Tally,
-    /// When each room last answered, and which are held to be lost, since when and until when.
-    heard: BTreeMap<u8, Micros>,
-    dark: BTreeMap<u8, (Micros, Micros)>,
-    listed_once: bool,
-    /// Until when plain reads are expected, for which known positions alone count.
-    plain_until: Micros,
+    budgets: Budgets,
+    seen: Observed,
     due: Due,
 }
 
@@ -173,16 +151,8 @@
             shares: Shares::new(&settings.quotas, settings.routers),
             tightest: settings.classes.iter().filter_map(Class::bound).min().unwrap_or(Micros::MAX),
             out_by_hand: BTreeMap::new(),
-            mean: 0.0,
-            tokens: RETRY_MAX,
-            probes: 1.0,
-            chat: 0.0,
-            unconnected: 0.0,
-            jam: Tally::default(),
-            heard: BTreeMap::new(),
-            dark: BTreeMap::new(),
-            listed_once: false,
-            plain_until: 0,
+            budgets: Budgets::new(),
+            seen: Observed::default(),
             due: Due::default(),
             set: settings,
         }
@@ -215,9 +185,13 @@
                     self.index.get(server).copied().into_iter().for_each(|i| self.answered(i, *ok));
                     self.report(*server, if *ok { *report } else { Report::default() }, false);
                 }
+                Event::Noted { server, note } => self.report(*server, *note, true),
                 Event::Timer(_) => {}
                 Event::ByHand { server, out, since } => self.by_hand(*server, *out, *since),
-                Event::Peer { from, news } => self.heard(*from, news),
+                Event::Peer { from, news } => {
+                    let (servers, groups, index) = (&mut self.servers, &mut self.groups, &self.index);
+                    take_news(servers, groups, index, &mut self.shares, (*from, news), self.now, PROBE_GAP);
+                }
                 Event::List { kind, entries } => self.list(*kind, entries),
             }
         }
@@ -234,18 +208,32 @@
         out.append(&mut self.out);
     }
 
-    /// The position that a read of this request must not be older than.
-    fn token(&self, a: &Arrival) -> Micros {
-        let (need, token_ms) = (self.set.classes[usize::from(a.class)].need, a.token_ms);
-        match self.set.tokens {
-            // The proxy itself saw the write: a bounded read is to see it too.
-            _ if a.plain && token_ms > 0.0 => self.now.saturating_sub((token_ms * 1e3) as u64) + 1_000,
-            _ if need != Need::Session => 0,
-            Tokens::Remembered => self.sessions.token(a.session),
-            Tokens::Carried if token_ms == 0.0 => 0,
-            // Rounded up by a millisecond; an age that makes no sense asks for the present.
-            Tokens::Carried if token_ms > 0.0 => self.now.saturating_sub((token_ms * 1e3) as u64) + 1_000,
-            Tokens::Carried => self.now,
+    /// The position that a request brings with it, which its reads must see.
+    fn brought(&self, a: &Arrival) -> Micros {
+        let carried = self.set.tokens == Tokens::Carried;
+        let session = carried && self.set.classes[usize::from(a.class)].need == Need::Session;
+        match a.token_ms {
+            // Rounded up by a millisecond. Of a plain statement the proxy itself saw the write: a bounded
+            // read is to see it too.
+            ms if ms > 0.0 && (session || a.plain) => self.now.saturating_sub((ms * 1e3) as u64) + 1_000,
+            // An age that makes no sense asks for the present.
+            ms if ms != 0.0 && session => self.now,
+            _ => 0,
+        }
+    }
+
+    /// The position that a read must see if its attempt begins now. Nothing else answers this question: it is
+    /// asked at each choice of a server, and again as the attempt's first byte is about to go.
+    fn must_see(&self, r: &Request) -> Micros {
+        let session = self.set.classes[r.class].need == Need::Session && !r.plain;
+        let asked_before = r.held || !r.attempts.is_empty();
+        match session && self.set.tokens == Tokens::Remembered {
+            false => r.token,
+            true if asked_before && mutants::on("sessions are read at arrival") => r.token,
+            // The answer to a write that is out may be lost, and its commit be known to its server alone.
+            // Servers that check turn such a read away themselves.
+            true if !self.checked(r) && self.sessions.is_writing(r.session) => PRESENT,
+            true => self.sessions.committed(r.session),
         }
     }
 
@@ -254,11 +242,10 @@
         (1.0 - FEW / f64::from(self.set.routers.max(1))).max(0.0)
     }
 
-    /// Whether a server may be tried as any other: its room is not lost, or it started since.
+    /// Whether a server may be tried as any other: its zone is not lost, or it started since.
     fn healthy(&self, i: usize) -> bool {
         let s = &self.servers[i];
-        let dark = self.dark.get(&s.zone);
-        s.healthy(self.now) && dark.is_none_or(|d| s.listed_start > d.0 || d.1 < self.now)
+        s.healthy(self.now) && !self.seen.zones.is_lost(s.zone, s.listed_start, self.now)
     }
 
     /// A server answered, or left something unanswered for its whole time.
@@ -266,14 +253,12 @@
         let (zone, s) = (self.servers[i].zone, &mut self.servers[i]);
         (s.silent_at, s.proven) = (if answer { 0 } else { self.now }, answer);
         if answer {
-            self.heard.insert(zone, self.now);
-            self.dark.remove(&zone);
-            return;
+            return self.seen.zones.answered(zone, self.now);
         }
-        let heard = self.heard.get(&zone).copied().unwrap_or(0);
+        let heard = self.seen.zones.last_answer(zone);
         let silent = self.servers.iter().filter(|s| s.zone == zone && s.silent_at > heard).count();
-        if silent as f64 * self.blur() >= DARK {
-            self.dark.entry(zone).or_insert((self.now, 0)).1 = self.now + DARK_FOR;
+        if silent as f64 * self.blur() >= ZONE_SILENT {
+            self.seen.zones.lost(zone, self.now, self.now + ZONE_LOST_FOR);
         }
     }
 
@@ -367,18 +352,48 @@
         self.set.limits.probes && !self.set.positions
     }
 
+    /// Whether what a member is known to have applied is recent enough for a request.
     fn current_enough(&self, i: usize, r: &Request) -> bool {
+        let reached = || self.reached(i, r.plain);
         match self.set.classes[r.class].need {
-            Need::Any => true,
+            Need::Any | Need::Write => true,
             Need::Bounded(bound) => {
-                let reached = self.reached(i, r.plain);
-                reached.saturating_add(bound) >= self.now && (!r.plain || reached >= r.token)
+                reached().saturating_add(bound) >= self.now && (!r.plain || reached() >= r.token)
             }
-            Need::Session => self.reached(i, r.plain) >= r.token,
-            Need::Fresh | Need::Write => false,
+            Need::Session => reached() >= r.token,
+            Need::Fresh => false,
         }
     }
 
+    /// Whether servers turn a read away themselves for which they are too far behind.
+    fn checked(&self, r: &Request) -> bool {
+        self.set.lag_check != LagCheck::Unchecked && !r.plain
+    }
+
+    /// Whether the latest attempt of a request may still begin, asked as its connection is up and its first
+    /// byte is about to go. Since its server was chosen, that may have fallen behind or lost its role, a
+    /// write of the session may have begun or ended, and the window for repeats may be over.
+    pub fn may_begin(&mut self, now: Micros, id: RequestId) -> bool {
+        self.now = self.now.max(now);
+        let Some(token) = self.requests.get(&id).map(|r| self.must_see(r)) else { return false };
+        self.requests.entry(id).and_modify(|r| r.token = token);
+        let r = &self.requests[&id];
+        let Some((latest, before)) = r.attempts.split_last().filter(|_| !r.closed) else { return false };
+        let primary = self.groups.get(&r.group).and_then(|g| g.primary) == Some(latest.server);
+        let current = primary || self.checked(r) || self.current_enough(latest.server, r);
+        let allowed = current && self.now < self.repeatable_until(r, before);
+        allowed || mutants::on("attempts begin unchecked")
+    }
+
+    /// Whether an answer to what was sent at this time says itself that it is older than the read may be: it
+    /// counts as turned away. Guards against a primary that handed over and has not said so yet.
+    pub fn is_stale(&self, id: RequestId, server: ServerId, note: &Report, sent: Micros) -> bool {
+        let Some(r) = self.requests.get(&id).filter(|r| !self.checked(r)) else { return false };
+        let known = self.index.get(&server).and_then(|&i| self.servers[i].position);
+        let position = note.position.or(known).unwrap_or(0);
+        note.role == Some(Role::Replica) && self.set.classes[r.class].need.is_missed(position, r.token, sent)
+    }
+
     /// Where to send a request now; `None` where it has to wait.
     fn route(&mut self, r: &Request) -> Option<usize> {
         let group = self.groups.get(&r.group)?;
@@ -390,7 +405,7 @@
             return (open && self.servers[i].has_room(self.now) && self.lets_in(i, r, true)).then_some(i);
         }
         // One sample says little: a host passes for fast or slow only as far as this router has seen it so.
-        let (blur, usual) = (self.blur(), (self.mean, LEAN * self.blur()));
+        let (blur, usual) = (self.blur(), (self.seen.mean, LEAN * self.blur()));
         let lowest = group.members.iter().filter_map(|&i| self.servers[i].weighed(usual));
         let lowest = lowest.min_by(f64::total_cmp).unwrap_or(L_DEFAULT);
         let long = need == Need::Any && self.is_long(r.class);
@@ -426,7 +441,7 @@
                 rank += 1;
             } else if !self.current_enough(i, r) {
                 // Where replicas check, the most advanced first; elsewhere the data would be stale.
-                if r.plain || self.set.lag_check == LagCheck::Unchecked {
+                if !self.checked(r) {
                     continue;
                 }
                 points = behind as f64;
@@ -460,30 +475,28 @@
             return false;
         }
         // Never two at once, even where copies are allowed.
-        r.outstanding() == 0 && self.now < self.repeatable_until(r)
+        r.outstanding() == 0 && self.now < self.repeatable_until(r, &r.attempts)
     }
 
-    /// Until when another attempt may begin.
-    fn repeatable_until(&self, r: &Request) -> Micros {
-        let first = r.may_have_run().map(|a| a.sent);
+    /// Until when another attempt may begin behind these.
+    fn repeatable_until(&self, r: &Request, before: &[Attempt]) -> Micros {
+        let first = Attempt::may_have_run(before).map(|a| a.sent);
         self.set.classes[r.class].effect.repeatable_until(first, r.plain)
     }
 
     fn may_refuse(&self, r: &Request) -> bool {
         let effect = self.set.classes[r.class].effect;
         let repeatable = matches!(effect, Effect::Keyed(DedupScope::All, _)) && !r.plain;
-        effect == Effect::Safe || repeatable || r.may_have_run().is_none()
+        effect == Effect::Safe || repeatable || Attempt::may_have_run(&r.attempts).is_none()
     }
 
     fn arrive(&mut self, a: &Arrival, coming: bool) {
-        self.tokens = (self.tokens + RETRY_SHARE).min(RETRY_MAX);
-        self.probes = (self.probes + PROBE_SHARE).min(PROBE_MAX);
-        self.chat = (self.chat + PEER_BYTES).min(256.0 * f64::from(self.set.routers));
+        self.budgets.request(self.set.routers);
         if self.set.classes.len() <= usize::from(a.class) {
             return self.out.push(Action::Refuse { id: a.id, retry_in: 0 });
         }
-        let (token, class) = (self.token(a), usize::from(a.class));
-        self.plain_until = if a.plain { self.now + PLAIN_FOR } else { self.plain_until };
+        let (token, class) = (self.brought(a), usize::from(a.class));
+        self.seen.plain_until = if a.plain { self.now + PLAIN_FOR } else { self.seen.plain_until };
         let (arrived, lot, beyond) =
             (self.now, self.rng.rand_float(), self.shares.beyond(a.tenant, self.now));
         let r = Request { lot, token, arrived, coming, beyond, ..Request::of(a) };
@@ -507,7 +520,7 @@
         let Some(g) = self.groups.get(&group).filter(|_| read) else { return 0.0 };
         // A read of any data is not turned away for its age: that counts only beside want of room.
         let bad = |t: Tally| t.late + if c.need == Need::Any { t.missed.min(t.late) } else { t.missed };
-        let (all, here) = (self.jam.at(self.now, JAM_HALF), g.jam.at(self.now, GROUP_HALF));
+        let (all, here) = (self.seen.jam.at(self.now, JAM_HALF), g.jam.at(self.now, GROUP_HALF));
         let groups = self.groups.values().map(|g| g.jam.at(self.now, GROUP_HALF));
         let (usual, apart) = spread(groups.map(|t| (bad(t), t.of)).collect(), JAM_FEW);
         let alike = (2.0 - apart).clamp(0.0, 1.0);
@@ -526,7 +539,8 @@
     }
 
     fn dispatch(&mut self, id: RequestId) {
-        let Some(r) = self.requests.remove(&id) else { return };
+        let Some(mut r) = self.requests.remove(&id) else { return };
+        r.token = self.must_see(&r);
         let until = r.sendable_until(&self.set.classes[r.class]);
         // What gets little more than the usual time mostly runs out of it; the next look comes with a tick.
         let quick = (self.usual(&r) * LEAST) as u64;
@@ -549,7 +563,6 @@
     }
 
     fn send(&mut self, id: RequestId, i: usize) {
-        let Some(begin_by) = self.requests.get(&id).map(|r| self.repeatable_until(r)) else { return };
         let Some(r) = self.requests.get_mut(&id) else { return };
         let until = r.useful_until(&self.set.classes[r.class]);
         let timeout = if until < r.give_up_at { until.saturating_sub(self.now).max(1) } else { 0 };
@@ -558,7 +571,10 @@
         let s = &mut self.servers[i];
         s.in_flight += u32::from(!r.coming);
         s.count(Q_OLD);
-        self.out.push(Action::Send { id, server: s.id, timeout, begin_by });
+        self.out.push(Action::Send { id, server: s.id, timeout });
+        if self.set.classes[r.class].need == Need::Write && self.set.tokens == Tokens::Remembered {
+            self.sessions.begins(r.session);
+        }
     }
 
     /// The final answer of a request that no attempt can serve any more, at once.
@@ -614,8 +630,8 @@
         if untrue {
             self.role(i, Role::Replica, self.now, true);
         }
-        if (outcome, need, self.set.tokens) == (Outcome::Ok, Need::Write, Tokens::Remembered) {
-            self.sessions.remember(session, e.note.position.unwrap_or(self.now), SESSIONS);
+        if (need, self.set.tokens) == (Need::Write, Tokens::Remembered) {
+            self.sessions.ends(session, e, self.now);
         }
         let dirty = self.groups.get_mut(&group).is_some_and(|g| {
             g.scout = g.scout.filter(|&s| s != id);
@@ -638,10 +654,10 @@
             // What failed at once cost its server next to nothing, and the next try may serve.
             let quick = latency as f64 / self.usual(r).max(1.0);
             let cost = if matches!(outcome, Outcome::Error | Outcome::Reset) { quick.min(1.0) } else { 1.0 };
-            if self.tokens < cost {
+            if self.budgets.retries < cost {
                 return self.finish(id);
             }
-            self.tokens -= cost;
+            self.budgets.retries -= cost;
         } else if r.attempts.len() >= 3 && outcome == Outcome::Miss {
             // Turned away all round: the next look is with the tick, not at once.
             return self.hold(id);
@@ -653,12 +669,12 @@
     /// shows, and each again as it falls idle.
     fn connections(&mut self, i: usize, outcome: Outcome, latency: Micros) {
         let failed = outcome == Outcome::ConnectFailed;
-        let was = self.unconnected;
-        self.unconnected = averaged(was, f64::from(failed && latency < REFUSED), SCARCE_OLD);
-        if was <= SCARCE && self.unconnected > SCARCE {
+        let was = self.seen.unconnected;
+        self.seen.unconnected = averaged(was, f64::from(failed && latency < REFUSED), SCARCE_OLD);
+        if was <= SCARCE && self.seen.unconnected > SCARCE {
             let idle = self.servers.iter().filter(|s| s.in_flight == 0 && s.last_answer > 0);
             self.out.extend(idle.map(|s| Action::CloseIdle(s.id)));
-        } else if self.unconnected > SCARCE && self.servers[i].in_flight == 0 && !failed {
+        } else if self.seen.unconnected > SCARCE && self.servers[i].in_flight == 0 && !failed {
             self.out.push(Action::CloseIdle(self.servers[i].id));
         }
     }
@@ -672,7 +688,7 @@
         let read = told && self.set.classes[class].need != Need::Write;
         if let Some(g) = self.groups.get_mut(&self.servers[i].group).filter(|_| read) {
             let slow = value > self.set.classes[class].aim as f64 * LATE_AT;
-            self.jam.add(self.now, JAM_HALF, outcome, slow);
+            self.seen.jam.add(self.now, JAM_HALF, outcome, slow);
             g.jam.add(self.now, GROUP_HALF, outcome, slow);
         }
         let s = &mut self.servers[i];
@@ -689,7 +705,7 @@
                 s.error_share *= 1.0 - ERROR_ADDS;
                 (s.strikes, s.refusals) = (0, 0);
                 self.classes[class].served(value, CLASS_OLD, CLASS_LEN);
-                blend(&mut self.mean, value, CLASS_OLD);
+                blend(&mut self.seen.mean, value, CLASS_OLD);
             }
             Outcome::Timeout | Outcome::Cancelled if s.adjusted.is_none_or(|l| value * scale > l) => {
                 s.sample(self.now, value * scale, LIST_LEN);
@@ -759,7 +775,7 @@
     /// Guards against a server that got the long ones, by their class or as told, passing for a slow one.
     fn scale(&self, class: usize, expected: Micros) -> f64 {
         let usual = if expected > 0 { expected as f64 } else { self.classes[class].mean };
-        if usual > 0.0 && self.mean > 0.0 { self.mean / usual } else { 1.0 }
+        if usual > 0.0 && self.seen.mean > 0.0 { self.seen.mean / usual } else { 1.0 }
     }
 
     // ---- Primary tracking ----
@@ -853,7 +869,7 @@
             self.due.period = self.now + PERIOD;
             self.probe();
             self.tell();
-            self.servers.iter_mut().for_each(|s| s.clamp(self.now, LIST_AGE, ALPHA, OLD, self.mean));
+            self.servers.iter_mut().for_each(|s| s.clamp(self.now, LIST_AGE, ALPHA, OLD, self.seen.mean));
             self.classes.iter_mut().for_each(|c| c.take_median(8));
         }
         // The age of what is out counts in the score before a sample does: a standstill shows at once.
@@ -911,19 +927,24 @@
                 continue;
             }
             if fresh {
-                let joined = if self.listed_once { self.now } else { 0 };
+                let joined = if self.seen.listed_once { self.now } else { 0 };
                 add_server(&mut self.servers, &mut self.index, &mut self.groups, e, (LIMIT, joined));
             }
             let i = self.index[&e.server];
-            self.servers[i].started_at(e.started, self.now, self.set.safety.cold, fresh && self.listed_once);
+            self.servers[i].started_at(
+                e.started,
+                self.now,
+                self.set.safety.cold,
+                fresh && self.seen.listed_once,
+            );
             self.listed_as(i, e.state);
             let Some(g) = self.groups.get_mut(&self.servers[i].group) else { continue };
             if e.primary && self.set.list_role != ListRole::Silent {
                 g.hint = Some(i);
-                g.primary = g.primary.or(Some(i).filter(|_| !self.listed_once));
+                g.primary = g.primary.or(Some(i).filter(|_| !self.seen.listed_once));
             }
         }
-        self.listed_once = true;
+        self.seen.listed_once = true;
     }
 
     fn listed_as(&mut self, i: usize, state: Listed) {
@@ -938,15 +959,15 @@
 
     /// Each unheard server once; one whose position is too old for the tightest bound now and then.
     fn probe(&mut self) {
-        if !self.set.limits.probes || self.probes < 1.0 {
+        if !self.set.limits.probes || self.budgets.probes < 1.0 {
             return;
         }
-        let (tightest, plain) = (self.tightest, self.now < self.plain_until);
+        let (tightest, plain) = (self.tightest, self.now < self.seen.plain_until);
         let due = |i: &usize| {
             let s = &self.servers[*i];
             let unheard = s.position.is_none() || s.unheard;
-            let dark = self.dark.contains_key(&s.zone);
-            let behind = dark || unheard || self.reached(*i, plain).saturating_add(tightest) < self.now;
+            let lost = self.seen.zones.has_lost(s.zone);
+            let behind = lost || unheard || self.reached(*i, plain).saturating_add(tightest) < self.now;
             let due = s.probed_at.is_none_or(|t| t + PROBE_GAP <= self.now && tightest < Micros::MAX);
             // Where answers tell positions, one that answers, or is still cold, need not be asked.
             let quiet = s.in_flight == 0 && s.last_answer + PROBE_GAP <= self.now;
@@ -956,15 +977,15 @@
             s.listed == Listed::Ready && self.out_since(s.id).is_none() && behind && due && fit
         };
         let mut due: Vec<usize> = (0..self.servers.len()).filter(due).collect();
-        // Those of lost rooms and those that started lately first, then longest unasked; each router begins
+        // Those of lost zones and those that started lately first, then longest unasked; each router begins
         // elsewhere.
         let from = |i: usize| (i + self.set.ordinal as usize) % self.servers.len();
-        let soon = |s: &Server| s.unheard || self.dark.contains_key(&s.zone);
+        let soon = |s: &Server| s.unheard || self.seen.zones.has_lost(s.zone);
         due.sort_by_key(|&i| (!soon(&self.servers[i]), self.servers[i].probed_at, from(i)));
-        for i in due.into_iter().take(self.probes as usize) {
+        for i in due.into_iter().take(self.budgets.probes as usize) {
             let s = &mut self.servers[i];
             s.probed_at = Some(self.now);
-            self.probes -= 1.0;
+            self.budgets.probes -= 1.0;
             self.out.push(Action::Probe(s.id));
         }
     }
@@ -972,24 +993,12 @@
     /// News for the peers, a few at once, as far as own requests pay; a message's head takes two places.
     fn tell(&mut self) {
         let peers = f64::from(self.set.routers.max(1) - 1);
-        let room = ((self.chat / peers) as usize).min(256) / LINE;
+        let room = ((self.budgets.peer_bytes / peers) as usize).min(256) / LINE;
         if room < 6 || peers == 0.0 || !self.set.limits.peers {
             return;
         }
         let news = news(&mut self.servers, &self.groups, &mut self.shares, self.now, room - 2);
-        self.chat -= (news.len() * LINE) as f64 * peers;
+        self.budgets.peer_bytes -= (news.len() * LINE) as f64 * peers;
         self.out.extend((!news.is_empty()).then_some(Action::TellAll(news)));
     }
-
-    fn heard(&mut self, from: u16, news: &[News]) {
-        for n in news {
-            match *n {
-                News::Asked { tenant, per_s } => self.shares.told(from, tenant, per_s, self.now),
-                News::Stands { server, position, primary } => {
-                    let Some(&i) = self.index.get(&server) else { continue };
-                    told(&mut self.servers, &mut self.groups, i, (position, primary), self.now, PROBE_GAP);
-                }
-            }
-        }
-    }
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -77,8 +77,8 @@
 /// What a request's task is told to do next.
 #[derive(Debug)]
 pub enum Order {
-    /// Start an attempt, unless its connection comes up later than `begin_by`, and stop waiting for it at `until`.
-    Attempt { server: ServerId, number: u8, until: Micros, begin_by: Micros },
+    /// Start an attempt, and stop waiting for it at `until`.
+    Attempt { server: ServerId, number: u8, until: Micros },
     /// Withdraw the attempt that is out.
     Withdraw,
     /// Final: refused, with advice when to come again.
@@ -177,7 +177,6 @@
     inner: RefCell<Inner>,
     /// Whether each class drops repeats by a key.
     keyed: Vec<bool>,
-    settings: Settings,
     kept: Micros,
     /// For how long discovery may be silent before the list of before will have to do.
     silent: Duration,
@@ -227,7 +226,6 @@
             retry_in,
             inner: RefCell::new(inner),
             keyed,
-            settings,
             kept,
             silent,
             timer_set: async_channel::bounded(1),
@@ -319,11 +317,6 @@
         self.keyed.get(usize::from(class)).copied().unwrap_or(false)
     }
 
-    /// Whether the module counts this answer as turned away for its age.
-    pub fn is_stale(&self, call: &Call, note: &Report, sent: Micros) -> bool {
-        !mutants::on("stale answers pass") && self.settings.is_stale(call.class, call.after, note, sent)
-    }
-
     /// The number of a tenant that the settings name.
     pub fn tenant(&self, name: &str) -> Option<u16> {
         self.dialect.tenants.iter().position(|t| t == name).and_then(|n| u16::try_from(n).ok())
@@ -407,6 +400,13 @@
         self.feed(Event::Peer { from, news });
     }
 
+    /// An answer that is not whole yet has told this of its server.
+    pub fn noted(&self, server: ServerId, note: Report) {
+        if !mutants::on("notes wait for the answer's end") {
+            self.feed(Event::Noted { server, note });
+        }
+    }
+
     /// A probe returned.
     pub fn probed(&self, server: ServerId, report: Option<Report>) {
         let ok = report.is_some();
@@ -482,13 +482,13 @@
         inner.router.handle(self.clock.now(), &[event], &mut actions);
         for action in actions.drain(..) {
             match action {
-                Action::Send { id, server, timeout, begin_by } => {
+                Action::Send { id, server, timeout } => {
                     let Some(open) = inner.open.get_mut(&id) else { continue };
                     let until = match timeout {
                         0 => open.give_up_at,
                         span => open.give_up_at.min(self.clock.now().saturating_add(span)),
                     };
-                    let order = Order::Attempt { server, number: open.attempts, until, begin_by };
+                    let order = Order::Attempt { server, number: open.attempts, until };
                     open.attempts += 1;
                     tell(open, order);
                 }
@@ -611,6 +611,17 @@
         }
     }
 
+    /// Whether the attempt that was ordered last may still begin, asked as its first byte is about to go.
+    pub fn may_begin(&self) -> bool {
+        self.core.inner.borrow_mut().router.may_begin(self.core.clock.now(), self.id)
+    }
+
+    /// Whether the module counts this answer to what was sent at that time as turned away for its age.
+    pub fn is_stale(&self, server: ServerId, note: &Report, sent: Micros) -> bool {
+        let inner = self.core.inner.borrow();
+        !mutants::on("stale answers pass") && inner.router.is_stale(self.id, server, note, sent)
+    }
+
     /// The request's last byte is here, and passed on.
     pub fn whole(&self, give_up_at: Micros) {
         if let Some(open) = self.core.inner.borrow_mut().open.get_mut(&self.id) {
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -63,6 +63,8 @@
 enum Broken {
     /// The connection ended or failed.
     Ended,
+    /// Nothing came in time.
+    Silent,
     /// The host sent what is no message, or none that belongs here.
     Nonsense(String),
 }
@@ -190,7 +192,7 @@
             Ok(Step::On) => Ok(true),
             Ok(Step::Ready) => Ok(false),
             Ok(Step::Refused(_)) => Err(ErrorKind::InvalidData.into()),
-            Err(Broken::Ended) => Err(ErrorKind::UnexpectedEof.into()),
+            Err(Broken::Ended | Broken::Silent) => Err(ErrorKind::UnexpectedEof.into()),
             Err(Broken::Nonsense(what)) => {
                 complain(|| format!("hosts: {}: {what}", self.opened.connection.address));
                 Err(ErrorKind::InvalidData.into())
@@ -307,15 +309,17 @@
         }
     }
 
-    /// One attempt at a statement that is whole, from the choice of a connection to the answer. It begins by `begin_by`
-    /// or not at all, and ends at `until` at the latest; dropping the future closes the connection, which withdraws the attempt.
-    /// `written` is called once the last byte is, and `heard` holds what its answer has told of the server so far.
+    /// One attempt at a statement that is whole, from the choice of a connection to the answer. `may_begin` is asked
+    /// once its connection is up. It ends at `until` at the latest; dropping the future closes the connection, which
+    /// withdraws the attempt. `written` is called once the last byte is, and `heard` holds what its answer has told of
+    /// the server so far.
+    #[allow(clippy::too_many_arguments, reason = "all that an attempt depends on")]
     pub async fn attempt(
-        &self, server: ServerId, statement: &Statement, writes: bool, (until, begin_by): (Micros, Micros),
-        written: impl FnOnce(), heard: &Cell<Report>,
+        &self, server: ServerId, statement: &Statement, writes: bool, until: Micros,
+        may_begin: impl Fn() -> bool, written: impl FnOnce(), heard: &Cell<Report>,
     ) -> Attempted {
         let deadline = self.core.clock.instant(until);
-        let opened = match self.open(server, until, begin_by).await {
+        let opened = match self.open(server, until, may_begin).await {
             Ok(opened) => opened,
             Err(outcome) => return Attempted::without_answer(outcome),
         };
@@ -347,7 +351,7 @@
             }
         };
         let Some(ended) = by(self.core.clock.instant(until), whole).await else {
-            return Attempted::without_answer(Outcome::Timeout);
+            return Attempted { note: answer.note, ..Attempted::without_answer(Outcome::Timeout) };
         };
         let (address, note) = (answer.opened.connection.address, answer.note);
         match ended {
@@ -392,7 +396,9 @@
                 complain(|| format!("hosts: {address}: {what}"));
                 Attempted { note, ..Attempted::without_answer(Outcome::Error) }
             }
-            Err(Broken::Ended) => Attempted { note, ..Attempted::without_answer(Outcome::Reset) },
+            Err(Broken::Ended | Broken::Silent) => {
+                Attempted { note, ..Attempted::without_answer(Outcome::Reset) }
+            }
         }
     }
 
@@ -404,8 +410,11 @@
         }
     }
 
-    /// A connection on which an attempt may be written, or the outcome that its lack amounts to.
-    pub async fn open(&self, server: ServerId, until: Micros, begin_by: Micros) -> Result<Opened, Outcome> {
+    /// A connection on which an attempt may be written, or the outcome that its lack amounts to. `may_begin` is asked
+    /// once it is up, however late: what the choice of the server rested on may be true no longer.
+    pub async fn open(
+        &self, server: ServerId, until: Micros, may_begin: impl Fn() -> bool,
+    ) -> Result<Opened, Outcome> {
         let deadline = self.core.clock.instant(until);
         let begun = world::now();
         let dialled = (begun + self.dial_timeout).min(deadline);
@@ -421,8 +430,8 @@
         if self.off_for(server).is_some_and(|off| off + DRAIN_MARGIN > self.drain_grace) {
             return Err(Outcome::Moot);
         }
-        // Guards against a repeat whose connection came up after its key may be forgotten.
-        if self.core.clock.now() >= begin_by {
+        if !may_begin() {
+            self.give_back(server, connection);
             return Err(Outcome::Moot);
         }
         Ok(Opened { server, connection })
@@ -433,7 +442,14 @@
     pub async fn answer(&self, mut opened: Opened, until: Micros, heard: &Cell<Report>) -> Attempted {
         let soon = if mutants::on("an attempt is left behind") { 50_000 } else { Micros::MAX };
         let until = until.min(self.core.clock.now().saturating_add(soon));
-        match by(self.core.clock.instant(until), opened.connection.answer(heard)).await {
+        let (server, told) = (opened.server, Cell::new(false));
+        // What binds is told at once, though the rest of the answer may never come.
+        let waits = || {
+            if heard.get().role == Some(Role::Replica) && !told.replace(true) {
+                self.core.noted(server, heard.get());
+            }
+        };
+        match by(self.core.clock.instant(until), opened.connection.answer(heard, waits)).await {
             Some(Answered::Whole(attempted, reusable)) => {
                 if reusable {
                     self.give_back(opened.server, opened.connection);
@@ -480,7 +496,9 @@
             pg::put_query(&mut query, "SHOW usage");
             connection.stream.write_all(&query).await.ok()?;
             let heard = Cell::default();
-            let Answered::Whole(attempted, reusable) = connection.answer(&heard).await else { return None };
+            let Answered::Whole(attempted, reusable) = connection.answer(&heard, || {}).await else {
+                return None;
+            };
             if reusable {
                 self.give_back(server, connection);
             }
@@ -607,7 +625,7 @@
                     complain(|| format!("hosts: {address}: {what}"));
                     return Err(Outcome::ConnectFailed);
                 }
-                Err(Broken::Ended) => return Err(Outcome::ConnectFailed),
+                Err(Broken::Ended | Broken::Silent) => return Err(Outcome::ConnectFailed),
             }
         }
     }
@@ -618,15 +636,25 @@
     }
 
     async fn message(&mut self) -> Result<Backend, Broken> {
+        self.message_by(None, || {}).await
+    }
+
+    /// The next message, where one comes by this time; `waits` is called before each wait for more of it.
+    async fn message_by(&mut self, when: Option<Instant>, waits: impl Fn()) -> Result<Backend, Broken> {
         loop {
             match pg::decode_backend(&mut self.inbox) {
                 Ok(Some(message)) => return Ok(message),
-                Ok(None) => match read(&self.stream, &mut self.inbox).await {
-                    Ok(n) if n > 0 => {}
-                    _ => return Err(Broken::Ended),
-                },
+                Ok(None) => waits(),
                 Err(e) => return Err(Broken::Nonsense(e.0)),
             }
+            let more = read(&self.stream, &mut self.inbox);
+            let more = match when {
+                Some(when) => by(when, more).await.ok_or(Broken::Silent)?,
+                None => more.await,
+            };
+            if !matches!(more, Ok(1..)) {
+                return Err(Broken::Ended);
+            }
         }
     }
 
@@ -640,13 +668,18 @@
         }
     }
 
-    /// Reads the answer to the query that is out: what it amounts to, and whether the connection
-    /// may serve another.
-    async fn answer(&mut self, heard: &Cell<Report>) -> Answered {
+    /// Reads the answer to the query that is out: what it amounts to, and whether the connection may serve another.
+    /// `waits` is called before each wait for more of it. Once it is complete but for the word that the host is ready
+    /// again, that is waited for only as long as it makes no difference.
+    async fn answer(&mut self, heard: &Cell<Report>, waits: impl Fn()) -> Answered {
         let (mut note, mut rejected) = (Report::default(), None);
         let (mut column, mut value, mut row, mut refused) = (None, None, None, None);
+        let mut complete_since = None;
         let ended = loop {
-            match self.message().await {
+            if complete_since.is_none() && (row.is_some() || refused.is_some()) {
+                complete_since = Some(world::now()).filter(|_| !mutants::on("answers wait for readiness"));
+            }
+            match self.message_by(complete_since.map(|since| since + AFTERMATH), &waits).await {
                 Ok(Backend::ReadyForQuery) => break None,
                 Ok(Backend::ParameterStatus { name, value }) => {
                     note_from(&mut note, &name, &value);
@@ -691,7 +724,7 @@
             (None, None, Some(Broken::Nonsense(_))) => Outcome::Error,
             (None, None, Some(Broken::Ended)) if mutants::on("a reset never ran") => Outcome::ConnectFailed,
             (None, None, Some(Broken::Ended)) => Outcome::Reset,
-            (None, None, None) => Outcome::Error,
+            (None, None, None | Some(Broken::Silent)) => Outcome::Error,
         };
         let row = row.filter(|_| outcome == Outcome::Ok);
         // Guards against something unasked passing for the answer to the next request.
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -104,20 +104,21 @@
                     return last(why);
                 }
             };
-            let (server, number, until, begin_by) = match next {
-                Order::Attempt { server, number, until, begin_by } => (server, number, until, begin_by),
+            let (server, number, until) = match next {
+                Order::Attempt { server, number, until } => (server, number, until),
                 Order::Refuse { retry_in } => return Some(Verdict::Refused { retry_in }),
                 Order::Fail => return Some(Verdict::Failed),
                 // The attempt ended on its own just before.
                 Order::Withdraw => continue,
             };
             let heard = Cell::default();
+            let may_begin = || ticket.may_begin();
             let (mut sent, coming, sent_at) = (world::now(), *left, core.clock.now());
             // Whichever comes first; the others are dropped here, and with an attempt its connection:
             // it is closed before the module hears of it, so that no second copy can be out.
             let mut happened = if coming > 0 {
                 let upload = async {
-                    let opened = hosts.open(server, until, begin_by).await.map_err(Upload::NoConnection)?;
+                    let opened = hosts.open(server, until, may_begin).await.map_err(Upload::NoConnection)?;
                     self.upload(opened, statement, left).await
                 };
                 let upload = async { Happened::Uploaded(upload.await) };
@@ -128,7 +129,7 @@
                 };
                 future::or(upload, future::or(ordered, cut_off)).await
             } else {
-                let attempt = hosts.attempt(server, statement, writes, (until, begin_by), written, &heard);
+                let attempt = hosts.attempt(server, statement, writes, until, may_begin, written, &heard);
                 let attempt = async { Happened::Ended(attempt.await) };
                 self.beside(attempt, &ticket, Happened::Ordered, Happened::Abandoned).await
             };
@@ -172,7 +173,7 @@
                     return Some(Verdict::Plain(bytes));
                 }
                 Happened::Ended(Attempted { note, row: Some(_), .. })
-                    if !once && core.is_stale(call, &note, sent_at) =>
+                    if !once && ticket.is_stale(server, &note, sent_at) =>
                 {
                     // As if the host had turned it away.
                     ended(Outcome::Miss, note);
--- a/src/state.rs
+++ b/src/state.rs
@@ -403,6 +403,87 @@
     pub ask_fails: u32,
 }
 
+/// What each request adds to the budget of retries, and what that holds at most; a retry takes 1.
+const RETRY_SHARE: f64 = 0.15;
+const RETRY_MAX: f64 = 10.0;
+/// What each request adds to those of probes and of bytes to peers, and the probes that may gather.
+const PROBE_SHARE: f64 = 0.05;
+const PROBE_MAX: f64 = 10.0;
+const PEER_BYTES: f64 = 25.0;
+/// Bytes that a message to a peer holds.
+const PEER_MESSAGE: f64 = 256.0;
+
+/// What may be spent beside requests. It follows the router's own requests, so that hundreds of routers stay as cheap
+/// as two.
+pub(crate) struct Budgets {
+    pub retries: f64,
+    pub probes: f64,
+    pub peer_bytes: f64,
+}
+
+impl Budgets {
+    pub fn new() -> Budgets {
+        Budgets { retries: RETRY_MAX, probes: 1.0, peer_bytes: 0.0 }
+    }
+
+    /// A request has come to one of so many routers.
+    pub fn request(&mut self, routers: u32) {
+        self.retries = (self.retries + RETRY_SHARE).min(RETRY_MAX);
+        self.probes = (self.probes + PROBE_SHARE).min(PROBE_MAX);
+        self.peer_bytes = (self.peer_bytes + PEER_BYTES).min(PEER_MESSAGE * f64::from(routers));
+    }
+}
+
+/// What has been seen over all servers.
+#[derive(Default)]
+pub(crate) struct Observed {
+    /// Mean latency of what was served.
+    pub mean: f64,
+    /// Recent share of attempts that got no connection.
+    pub unconnected: f64,
+    /// Reads that came to nothing of late, of all.
+    pub jam: Tally,
+    pub zones: Zones,
+    /// Whether a list has come.
+    pub listed_once: bool,
+    /// Until when plain reads are expected, for which known positions alone count.
+    pub plain_until: Micros,
+}
+
+/// When each zone last answered, and which are held to be lost.
+#[derive(Default)]
+pub(crate) struct Zones {
+    answers: BTreeMap<u8, Micros>,
+    /// Since when and until when.
+    lost: BTreeMap<u8, (Micros, Micros)>,
+}
+
+impl Zones {
+    pub fn answered(&mut self, zone: u8, now: Micros) {
+        self.answers.insert(zone, now);
+        self.lost.remove(&zone);
+    }
+
+    pub fn last_answer(&self, zone: u8) -> Micros {
+        self.answers.get(&zone).copied().unwrap_or(0)
+    }
+
+    /// A zone is held to be lost until then, since now if it was not yet.
+    pub fn lost(&mut self, zone: u8, now: Micros, until: Micros) {
+        self.lost.entry(zone).or_insert((now, 0)).1 = until;
+    }
+
+    /// Whether a zone was held to be lost and has not answered since.
+    pub fn has_lost(&self, zone: u8) -> bool {
+        self.lost.contains_key(&zone)
+    }
+
+    /// Whether a server that started then is held to be lost with its zone.
+    pub fn is_lost(&self, zone: u8, started: Micros, now: Micros) -> bool {
+        self.lost.get(&zone).is_some_and(|&(since, until)| started <= since && until >= now)
+    }
+}
+
 /// What has been seen of a class.
 #[derive(Default)]
 pub(crate) struct ClassState {
@@ -446,6 +527,13 @@
     pub outcome: Option<Outcome>,
 }
 
+impl Attempt {
+    /// The first of these that is not proven to have had no effect.
+    pub fn may_have_run(attempts: &[Attempt]) -> Option<&Attempt> {
+        attempts.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran))
+    }
+}
+
 /// A client's request, kept until it is closed and every attempt has returned.
 #[derive(Default)]
 pub(crate) struct Request {
@@ -454,7 +542,7 @@
     pub session: u64,
     /// Drawn at arrival, from 0 to 1.
     pub lot: f64,
-    /// Position that the session's reads must have reached.
+    /// Position that its reads must see: as brought, or as of the beginning of its latest attempt.
     pub token: Micros,
     pub arrived: Micros,
     pub give_up_at: Micros,
@@ -509,39 +597,6 @@
         let half = self.arrived + self.give_up_at.saturating_sub(self.arrived) / 2;
         self.useful_until(c).min(if self.held { half } else { self.give_up_at })
     }
-    /// The first attempt that is not proven to have had no effect.
-    pub fn may_have_run(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran))
-    }
-}
-
-/// The last write of each session, in bounded memory: what is forgotten raises a floor for all.
-#[derive(Default)]
-pub(crate) struct Sessions {
-    last: BTreeMap<u64, Micros>,
-    order: VecDeque<(u64, Micros)>,
-    floor: Micros,
-}
-
-impl Sessions {
-    /// Position that the session's reads must have reached.
-    pub fn token(&self, session: u64) -> Micros {
-        self.last.get(&session).copied().unwrap_or(0).max(self.floor)
-    }
-    /// Notes a write of the session, keeping at most `most` notes.
-    pub fn remember(&mut self, session: u64, position: Micros, most: usize) {
-        let at = self.last.entry(session).or_insert(0);
-        *at = (*at).max(position);
-        self.order.push_back((session, *at));
-        if self.order.len() > most
-            && let Some((old, at)) = self.order.pop_front()
-        {
-            self.floor = self.floor.max(at);
-            if self.last.get(&old) == Some(&at) {
-                self.last.remove(&old);
-            }
-        }
-    }
 }
 
 /// Bytes that one piece of news takes in a message.
@@ -593,6 +648,22 @@
     }
 }
 
+/// Takes in what another router says.
+pub(crate) fn take_news(
+    servers: &mut [Server], groups: &mut BTreeMap<GroupId, Group>, index: &BTreeMap<ServerId, usize>,
+    shares: &mut Shares, (from, news): (u16, &[News]), now: Micros, later: Micros,
+) {
+    for n in news {
+        match *n {
+            News::Asked { tenant, per_s } => shares.told(from, tenant, per_s, now),
+            News::Stands { server, position, primary } => {
+                let Some(&i) = index.get(&server) else { continue };
+                told(servers, groups, i, (position, primary), now, later);
+            }
+        }
+    }
+}
+
 /// A request whose bytes were still coming is whole: its time begins, and its attempt is one in hand.
 /// Guards against a client that writes slowly passing for a slow server, or filling its limit.
 pub(crate) fn whole(
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -309,7 +309,7 @@
     std::fs::remove_file(&pipe).expect("removed");
 }
 
-/// An answer up to its row's end, without the role and the end that follow.
+/// An answer without the role and the end that follow its command's.
 fn row_alone() -> Vec<u8> {
     let mut whole = row("v");
     let rest = [message(b'S', b"server_role\0writer\0"), message(b'Z', b"I")].concat();
@@ -318,14 +318,26 @@
     whole
 }
 
-/// A primary that says it is none, in an answer that nobody waits for to its end.
+/// The same without the command's end: nobody can tell that it is whole.
+fn unfinished_row() -> Vec<u8> {
+    let mut unfinished = row_alone();
+    let complete = message(b'C', b"SELECT 1\0");
+    assert!(unfinished.ends_with(&complete));
+    unfinished.truncate(unfinished.len() - complete.len());
+    unfinished
+}
+
+/// A primary that says it is none, in an answer that does not end. Behind its command's end the answer is whole.
 #[test]
 fn what_an_answer_tells_of_its_host_counts_though_the_answer_does_not_end_in_time() {
-    let told = [row_alone(), message(b'S', b"server_role\0reader\0")].concat();
-    let host = Host::start(move |_, _| Reply::Bytes(told.clone()));
-    let proxy = Proxy::start(&[&host], 1024);
-    assert_eq!(proxy.client().ask(&read("1", "browse", 700)).code, "53300");
-    proxy.logged("is no longer primary");
+    for (beginning, code, value) in [(unfinished_row(), "53300", None), (row_alone(), "", Some("v"))] {
+        let told = [beginning, message(b'S', b"server_role\0reader\0")].concat();
+        let host = Host::start(move |_, _| Reply::Bytes(told.clone()));
+        let proxy = Proxy::start(&[&host], 1024);
+        let answer = proxy.client().ask(&read("1", "browse", 700));
+        assert_eq!((answer.code.as_str(), answer.value.as_deref()), (code, value));
+        proxy.logged("is no longer primary");
+    }
 }
 
 /// The same, where the client leaves as the answer comes.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,186 +1,13 @@
 //! Decisions of the module, seen through its public interface.
 
+mod rig;
+
+use rig::*;
 use sillfold::logic::{ALPHA, score, tail_adjusted};
 use sillfold::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-const MS: Micros = 1_000;
-const T0: Micros = 1_000_000_000;
-
-fn class(need: Need, effect: Effect) -> Class {
-    Class { need, effect, aim: 400 * MS, deadline: 2_000 * MS, worth: 1.0, late_worth: 0.5, aim_stretch: 0.0 }
-}
-
-/// Classes: 0 any, 1 bounded 300 ms, 2 session, 3 fresh, 4 unsafe write, 5 keyed write.
-fn settings() -> Settings {
-    Settings {
-        routers: 2,
-        ordinal: 0,
-        zone: 0,
-        classes: vec![
-            class(Need::Any, Effect::Safe),
-            class(Need::Bounded(300 * MS), Effect::Safe),
-            class(Need::Session, Effect::Safe),
-            class(Need::Fresh, Effect::Safe),
-            class(Need::Write, Effect::Unsafe),
-            class(Need::Write, Effect::Keyed(DedupScope::Group, 1_000 * MS)),
-        ],
-        list_mode: ListMode::Pushed,
-        list_role: ListRole::Late,
-        lag_check: LagCheck::Unchecked,
-        tokens: Tokens::Carried,
-        crossings_cost: false,
-        positions: true,
-        limits: Limits {
-            cancel: true,
-            probes: true,
-            peers: false,
-            retry_after: true,
-            max_retry_after: 1_000 * MS,
-            second_copies: false,
-            max_attempts: 6,
-        },
-        safety: Safety {
-            drain_grace: 2_000 * MS,
-            only_draining_binds: false,
-            start_capacity: 0.2,
-            cold: 10_000 * MS,
-            tip_multiple: 3.0,
-            overload_for: 2_000 * MS,
-            ask_within: 10_000 * MS,
-        },
-        quotas: Vec::new(),
-        over_quota_worth: 1.0,
-    }
-}
-
-fn entry(server: ServerId, state: Listed, primary: bool, started: Micros) -> Entry {
-    Entry { server, zone: 0, kind: 0, group: 0, state, weight: 1.0, primary, started }
-}
-
-fn list(kind: ListKind, entries: Vec<Entry>) -> Event {
-    Event::List { kind, entries: entries.into() }
-}
-
-/// Servers 1 (primary, by the list's hint), 2 and 3.
-fn three() -> Event {
-    let ready = |id, primary| entry(id, Listed::Ready, primary, 0);
-    list(ListKind::Cached, vec![ready(1, true), ready(2, false), ready(3, false)])
-}
-
-fn request(id: RequestId, class: u8, now: Micros) -> Event {
-    Event::Request(Arrival {
-        id,
-        class,
-        session: 9,
-        give_up_at: now + 2_000 * MS,
-        group: 0,
-        token_ms: 0.0,
-        ..Arrival::default()
-    })
-}
-
-/// A request of no session that its client gives up after 100 ms.
-fn brief(id: RequestId, class: u8, group: GroupId, now: Micros) -> Event {
-    Event::Request(Arrival {
-        id,
-        class,
-        session: 0,
-        give_up_at: now + 100 * MS,
-        group,
-        token_ms: 0.0,
-        ..Arrival::default()
-    })
-}
-
-struct Rig {
-    router: Router,
-    now: Micros,
-    sent: BTreeMap<RequestId, u8>,
-    probed: Vec<ServerId>,
-}
-
-impl Rig {
-    fn new(settings: Settings) -> Rig {
-        let mut rig =
-            Rig { router: Router::new(settings, 11), now: T0, sent: BTreeMap::new(), probed: Vec::new() };
-        rig.at(0, &[three()]);
-        rig
-    }
-    /// Advances the clock and hands in events.
-    fn at(&mut self, later: Micros, events: &[Event]) -> Vec<Action> {
-        self.now += later;
-        let mut out = Vec::new();
-        self.router.handle(self.now, events, &mut out);
-        for a in &out {
-            if let Action::Send { id, .. } = a {
-                *self.sent.entry(*id).or_insert(0) += 1;
-            }
-            if let Action::Probe(server) = a {
-                self.probed.push(*server);
-            }
-        }
-        out
-    }
-    fn ask(&mut self, id: RequestId, class: u8) -> Vec<Action> {
-        let event = request(id, class, self.now);
-        self.at(0, &[event])
-    }
-    /// The last attempt of a request ends after `latency` with a position `behind` the clock.
-    fn end(
-        &mut self, id: RequestId, server: ServerId, outcome: Outcome, latency: Micros, role: Role,
-        behind: Micros,
-    ) -> Vec<Action> {
-        self.now += latency;
-        let note = Report { position: Some(self.now - behind), role: Some(role), in_flight: None };
-        let answered = matches!(outcome, Outcome::Ok | Outcome::Miss | Outcome::Full | Outcome::Error);
-        let event = Event::Outcome(Returned {
-            id,
-            attempt: self.sent[&id] - 1,
-            server,
-            outcome,
-            latency,
-            finished: outcome == Outcome::Ok,
-            note: if answered { note } else { Report::default() },
-            report: Report::default(),
-        });
-        self.at(0, &[event])
-    }
-    /// The same, where answers tell nothing of their server.
-    fn end_untold(&mut self, id: RequestId, server: ServerId, outcome: Outcome, latency: Micros) {
-        self.now += latency;
-        let (attempt, finished) = (self.sent[&id] - 1, outcome == Outcome::Ok);
-        let (note, report) = Default::default();
-        let event = Returned { id, attempt, server, outcome, latency, finished, note, report };
-        self.at(0, &[Event::Outcome(event)]);
-    }
-    fn heard(&mut self, server: ServerId, role: Role, behind: Micros) {
-        let report = Report { position: Some(self.now - behind), role: Some(role), in_flight: None };
-        self.at(0, &[Event::Probed { server, ok: true, report }]);
-    }
-}
-
-fn target(actions: &[Action], id: RequestId) -> Option<ServerId> {
-    actions.iter().find_map(|a| match a {
-        Action::Send { id: i, server, .. } if *i == id => Some(*server),
-        _ => None,
-    })
-}
-
-/// In these scenarios server 1 is primary.
-fn role_of(server: ServerId) -> Role {
-    if server == 1 { Role::Primary } else { Role::Replica }
-}
-
-fn refused(actions: &[Action], id: RequestId) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { id: i, .. } if *i == id))
-}
-
-fn failed(actions: &[Action], id: RequestId) -> bool {
-    actions.contains(&Action::Fail(id))
-}
-
 #[test]
 fn score_is_cubic_in_flight() {
     assert_eq!(score(10.0, 1.0, 4.0), 14.0);
@@ -464,28 +291,23 @@
 
 /// The first attempt is not bound; a repeat has to begin before the key may be forgotten, and a read never has to.
 #[test]
-fn a_repeat_of_a_keyed_write_tells_until_when_it_may_begin() {
-    let by = |out: &[Action]| {
-        out.iter().find_map(|a| match a {
-            Action::Send { id: 1, begin_by, .. } => Some(*begin_by),
-            _ => None,
-        })
-    };
+fn a_repeat_of_a_keyed_write_may_begin_inside_its_window_only() {
     for (class, window) in [(5, Some(1_000 * MS)), (0, None)] {
         let mut rig = Rig::new(settings());
         let first = rig.now;
         let out = rig.ask(1, class);
-        assert_eq!(by(&out), Some(Micros::MAX));
         let server = target(&out, 1).expect("it is sent");
+        let mut unbound = Rig::new(settings());
+        unbound.ask(1, class);
+        assert!(unbound.router.may_begin(first + 3_600_000 * MS, 1), "class {class}: the first attempt");
         let mut out = rig.end(1, server, Outcome::Reset, 5 * MS, Role::Primary, 0);
         for _ in 0..20 {
             out.extend(rig.at(10 * MS, &[Event::Timer(0)]));
         }
-        let Some(again) = by(&out) else { panic!("class {class} is not sent again: {out:?}") };
-        match window {
-            Some(window) => assert!(again > first && again <= first + window - 50 * MS, "{}", again - first),
-            None => assert_eq!(again, Micros::MAX),
-        }
+        assert!(target(&out, 1).is_some(), "class {class} is not sent again: {out:?}");
+        assert!(rig.router.may_begin(rig.now, 1));
+        let late = window.map_or(3_600_000 * MS, |window| window - 50 * MS);
+        assert_eq!(rig.router.may_begin(first + late, 1), window.is_none(), "class {class}");
     }
 }
 
@@ -1142,18 +964,33 @@
 #[test]
 fn an_answer_that_says_it_is_too_old_counts_as_turned_away() {
     let mut set = settings();
-    (set.lag_check, set.positions) = (LagCheck::Unchecked, true);
-    set.classes[0].need = Need::Bounded(800 * MS);
-    set.classes[1].need = Need::Session;
+    set.classes[1].need = Need::Bounded(800 * MS);
     let note = |behind, role| Report { position: Some(T0 - behind), role: Some(role), in_flight: None };
     let (replica, primary) = (note(900 * MS, Role::Replica), note(900 * MS, Role::Primary));
-    assert!(set.is_stale(0, None, &replica, T0) && !set.is_stale(0, None, &replica, T0 - 100 * MS));
-    assert!(!set.is_stale(0, None, &primary, T0), "a primary stands at the present");
-    assert!(set.is_stale(1, Some(T0 - 800 * MS), &replica, T0));
-    assert!(!set.is_stale(1, Some(T0 - 900 * MS), &replica, T0) && !set.is_stale(1, None, &replica, T0));
-    assert!(!set.is_stale(99, None, &replica, T0) && !set.is_stale(0, None, &Report::default(), T0));
+    let asked = |set: &Settings, class, token_ms| {
+        let mut rig = Rig::new(set.clone());
+        let read =
+            Arrival { id: 1, class, session: 9, give_up_at: T0 + 2_000 * MS, token_ms, ..Arrival::default() };
+        rig.at(0, &[Event::Request(read)]);
+        rig
+    };
+    let stale = |rig: &Rig, note: &Report, sent| rig.router.is_stale(1, 1, note, sent);
+    let bounded = asked(&set, 1, 0.0);
+    assert!(stale(&bounded, &replica, T0) && !stale(&bounded, &replica, T0 - 100 * MS));
+    assert!(!stale(&bounded, &primary, T0), "a primary stands at the present");
+    assert!(!stale(&bounded, &Report::default(), T0), "it says nothing of its role");
+    assert!(stale(&asked(&set, 2, 800.0), &replica, T0));
+    assert!(!stale(&asked(&set, 2, 901.5), &replica, T0) && !stale(&asked(&set, 2, 0.0), &replica, T0));
+    assert!(!stale(&asked(&set, 0, 800.0), &replica, T0), "any data will do");
+    assert!(!bounded.router.is_stale(99, 1, &replica, T0), "no such request");
+    // Where answers tell no position, what is known of the server has to do.
+    let silent = Report { position: None, ..replica };
+    assert!(stale(&bounded, &silent, T0));
+    let mut known = asked(&set, 1, 0.0);
+    known.heard(1, Role::Replica, 700 * MS);
+    assert!(!stale(&known, &silent, T0));
     set.lag_check = LagCheck::Refuse;
-    assert!(!set.is_stale(0, None, &replica, T0), "members that check have done so");
+    assert!(!stale(&asked(&set, 1, 0.0), &replica, T0), "members that check have done so");
 }
 
 /// Connections fall silent now and then: what was sent later is answered in a moment, so there is room. Two such losses
