Bind session reads by what a process before or beside this one has answered

Cause: remembered sessions begin empty with each process, so after a restart or beside an old version a read could be sent to a replica that lacks what the other process had just answered. Change: `Event::OtherProcess` raises the floor to the present at the start and at the end of another process, and while it runs reads of sessions must see the present where servers do not check (`Sessions::written_elsewhere`, fed by `Core::new` and `net/upgrade.rs`). Test: `what_another_process_answered_binds_the_reads_of_this_one` (pure); it needs the new event, so it cannot run on the code before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -391,6 +391,9 @@
         /// Its report.
         report: Report,
     },
+    /// Whether another process answers requests of the same sessions. What such a process has answered up to now
+    /// binds in any case: it is fed at the start too, for the process before.
+    OtherProcess(bool),
     /// Operators leave a server out, or use it again, as of this time.
     ByHand {
         /// The server.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -186,6 +186,7 @@
                     self.report(*server, if *ok { *report } else { Report::default() }, false);
                 }
                 Event::Noted { server, note } => self.report(*server, *note, true),
+                Event::OtherProcess(runs) => self.sessions.written_elsewhere(*runs, self.now),
                 Event::Timer(_) => {}
                 Event::ByHand { server, out, since } => self.by_hand(*server, *out, *since),
                 Event::Peer { from, news } => {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -238,6 +238,8 @@
             says: RefCell::default(),
             listed: async_channel::bounded(1),
         };
+        // What a process before this one has answered is not known here.
+        core.other_process(false);
         (core, todo)
     }
 
@@ -400,6 +402,11 @@
         self.feed(Event::Peer { from, news });
     }
 
+    /// Whether another process serves the same clients: what it answers binds the reads of this one's sessions.
+    pub fn other_process(&self, runs: bool) {
+        self.feed(Event::OtherProcess(runs));
+    }
+
     /// An answer that is not whole yet has told this of its server.
     pub fn noted(&self, server: ServerId, note: Report) {
         if !mutants::on("notes wait for the answer's end") {
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -95,6 +95,7 @@
 
     /// Tells the other process what this one holds and hears the same of it, until it ends.
     async fn exchange(self: Rc<Upgrade>, stream: Stream) {
+        self.core.other_process(true);
         let tell = async {
             loop {
                 let Ok(mut line) = serde_json::to_vec(&self.held()) else { return };
@@ -127,6 +128,7 @@
         future::or(tell, hear).await;
         info!(target: "upgrade", "the other process has ended");
         self.beside(None);
+        self.core.other_process(false);
         self.read_hands(false);
         let _ = self.ended.0.try_send(());
     }
--- a/src/sessions.rs
+++ b/src/sessions.rs
@@ -31,9 +31,17 @@
     /// Remembered commits, oldest first, with their sessions.
     by_position: BTreeSet<(Micros, u64)>,
     floor: Micros,
+    /// Another process takes writes of the same sessions.
+    written_elsewhere: bool,
 }
 
 impl Sessions {
+    /// Whether another process takes writes of the same sessions. What one has answered up to now binds every session.
+    pub fn written_elsewhere(&mut self, runs: bool, now: Micros) {
+        self.written_elsewhere = runs;
+        self.raise_floor(now);
+    }
+
     /// A write attempt of the session is sent.
     pub fn begins(&mut self, session: u64) {
         self.writes.entry(session).or_default().in_progress += 1;
@@ -59,14 +67,14 @@
         self.writes.get(&session).map_or(0, |writes| writes.committed).max(self.floor)
     }
 
-    /// Whether a write attempt of the session is out.
+    /// Whether a write of the session may be committed at any moment: an attempt is out, here or at another process.
     pub fn is_writing(&self, session: u64) -> bool {
-        let in_progress = self.writes.get(&session).is_some_and(|writes| writes.in_progress > 0);
-        in_progress && !mutants::on("writes in progress are ignored")
+        let in_progress = || self.writes.get(&session).is_some_and(|writes| writes.in_progress > 0);
+        (self.written_elsewhere || in_progress()) && !mutants::on("writes in progress are ignored")
     }
 
     /// From now on every session must see at least this position.
-    pub fn raise_floor(&mut self, position: Micros) {
+    fn raise_floor(&mut self, position: Micros) {
         self.floor = self.floor.max(position);
     }
 
--- a/tests/session_reads.rs
+++ b/tests/session_reads.rs
@@ -264,3 +264,27 @@
     let never = reads(&mut rig, 7, 900_100);
     assert!(no_replica(&never), "{never:?}");
 }
+
+/// A process that takes over knows nothing of what the one before it has answered, up to its own start; while both run,
+/// the other may answer a write at any moment.
+#[test]
+fn what_another_process_answered_binds_the_reads_of_this_one() {
+    let mut rig = Rig::new(remembering(LagCheck::Unchecked));
+    rig.at(0, &[Event::OtherProcess(false)]);
+    replicas_behind(&mut rig, MS);
+    let to = read_goes_to(&mut rig, 10);
+    assert!(no_replica(&to), "behind this one's start: {to:?}");
+    replicas_behind(&mut rig, 0);
+    let to = read_goes_to(&mut rig, 20);
+    assert!(!no_replica(&to), "{to:?}");
+    rig.at(5 * MS, &[Event::OtherProcess(true)]);
+    replicas_behind(&mut rig, 0);
+    let to = read_goes_to(&mut rig, 30);
+    assert!(no_replica(&to), "the other runs: {to:?}");
+    rig.at(5 * MS, &[Event::OtherProcess(false)]);
+    let to = read_goes_to(&mut rig, 40);
+    assert!(no_replica(&to), "behind the other's end: {to:?}");
+    replicas_behind(&mut rig, 0);
+    let to = read_goes_to(&mut rig, 50);
+    assert!(!no_replica(&to), "{to:?}");
+}
