Tell on real sockets what a session's read must see of its writes

Cause: where replicas answer from what they have and the proxy remembers the writes of each session, reads broke the rule on stale data, and no story on sockets covered that deployment.

The write whose answer stops behind CommandComplete ends as failed after its 20 s. The role told in an answer that falls silent counts only when the attempt ends, after 20 s. Two hold already: a client that leaves as the answer comes, and positions at the millisecond of a commit.

--- /dev/null
+++ b/tests/sessions.rs
@@ -0,0 +1,466 @@
+//! What the reads of a session see of its writes, where replicas answer from what they have and the proxy remembers
+//! the writes. Each story forces one crossing of a write, a read and a connection on real sockets; `docs/crossings.md`
+//! is the table. The program draws its lots from the seed `1f` in its configuration.
+//!
+//! A group has a primary, which one unanswered write of an unrelated session keeps busy, so that reads prefer a
+//! replica wherever the rules allow one, and replicas whose data is old.
+
+mod support;
+
+use std::cell::Cell;
+use std::sync::mpsc::Sender;
+use std::thread;
+use std::time::{Duration, Instant};
+use support::*;
+
+/// The session whose writes must be seen, and others that have written nothing, or nothing of interest.
+const SESSION: &str = "7f";
+const UNRELATED: &str = "c0";
+const NEVER_WROTE: &str = "e1";
+
+/// The patience of a client that waits as long as it takes, and a time well under it.
+const PATIENT_MS: u32 = 20_000;
+const SOON: Duration = Duration::from_secs(5);
+
+/// By how much replicas are behind.
+const BEHIND_MS: u64 = 60_000;
+/// The bound of the bounded reads, as in the settings.
+const BOUND_MS: u64 = 800;
+/// Attempts that a server of which little is known may have.
+const PLACES: usize = 4;
+
+/// Settings with a session class, replicas that do not check, and a proxy that remembers writes.
+fn remembering(config: String) -> String {
+    let changes = [
+        ("\"behind\":\"await\"", "\"behind\":\"silent\""),
+        ("\"positions\":false", "\"positions\":true"),
+        ("\"writeMarks\":\"brought\"", "\"writeMarks\":\"kept\""),
+        ("\"lag_bound\",\"eventual\",\"mutate\"", "\"lag_bound\",\"eventual\",\"mutate\",\"causal\""),
+        ("[800000,0,0]", "[800000,0,0,0]"),
+        ("\"dialTimeoutUs\":1500000", "\"dialTimeoutUs\":19000000"),
+        (
+            "\"sloUs\":1600000,\"worth\":4.0}",
+            "\"sloUs\":1600000,\"worth\":4.0},{\"name\":\"profile\",\"deadlineUs\":20000000,\
+             \"effect\":\"retryable\",\"lateWorth\":0.9,\"sloUs\":9000000,\"worth\":3.0}",
+        ),
+    ];
+    changes.into_iter().fold(add_console(config), |config, (from, to)| {
+        assert!(config.contains(from), "{from}");
+        config.replace(from, to)
+    })
+}
+
+/// The same, where a request has one attempt.
+fn one_attempt(config: String) -> String {
+    remembering(config).replace("\"mostTries\":10", "\"mostTries\":1")
+}
+
+fn statement(id: &str, class: &str, patience_ms: u32, sql: &str) -> String {
+    format!("/* id={id},c={class},d={patience_ms},cluster=3 */ {sql}")
+}
+
+fn session_read(id: &str, session: &str) -> String {
+    let sql = format!("SELECT payload FROM entries WHERE ref = '{session}'");
+    statement(id, "profile", PATIENT_MS, &sql)
+}
+
+fn bounded_read(id: &str, patience_ms: u32) -> String {
+    let sql = format!("SELECT payload FROM entries WHERE ref = '{NEVER_WROTE}'");
+    statement(id, "browse", patience_ms, &sql)
+}
+
+fn write(id: &str, session: &str, patience_ms: u32) -> String {
+    let sql = format!("INSERT INTO entries VALUES ('{session}', '1') RETURNING payload");
+    let comment = format!("/* id={id},c=ingest,d={patience_ms},k=5c0f{id},cluster=3 */");
+    format!("{comment} {sql}")
+}
+
+fn primary() -> ScriptedHost {
+    let position = HostPosition::Now;
+    ScriptedHost::start(HostState { value: "primary", role: HostRole::Writer, position })
+}
+
+fn replica(value: &'static str) -> ScriptedHost {
+    let position = HostPosition::UnixMs(unix_ms() - BEHIND_MS);
+    ScriptedHost::start(HostState { value, role: HostRole::Reader, position })
+}
+
+/// A whole answer of the primary's to a write that committed now.
+fn committed(primary: &ScriptedHost) -> Reply {
+    Reply::Bytes(primary.state().answer().whole())
+}
+
+/// An unanswered request and the way to answer it.
+struct Unanswered {
+    client: Client,
+    reply: Sender<Reply>,
+}
+
+/// The program and a group whose roles and positions it has been taught.
+struct Group {
+    proxy: Proxy,
+    primary: ScriptedHost,
+    replicas: Vec<ScriptedHost>,
+    /// Writes that keep the primary busy.
+    busy: Vec<Unanswered>,
+    /// Reads that taught the program something so far: no id may be used twice.
+    lessons: Cell<usize>,
+}
+
+impl Group {
+    fn start(replica_names: &[&'static str], change: impl Fn(String) -> String) -> Group {
+        let (primary, replicas) = (primary(), replica_names.iter().map(|&name| replica(name)));
+        let replicas: Vec<ScriptedHost> = replicas.collect();
+        let hosts: Vec<&Host> = [&primary].into_iter().chain(&replicas).map(|member| &member.host).collect();
+        let proxy = Proxy::start_with(&hosts, 1024, change);
+        let mut group = Group { proxy, primary, replicas, busy: Vec::new(), lessons: Cell::new(0) };
+        assert_eq!(group.ask(&write("teach", UNRELATED, PATIENT_MS)).value.as_deref(), Some("primary"));
+        group.occupy_primary();
+        group.teach_replicas();
+        group
+    }
+
+    fn replica(&self) -> &ScriptedHost {
+        &self.replicas[0]
+    }
+
+    /// Asks on a connection of its own.
+    fn ask(&self, statement: &str) -> Answer {
+        self.proxy.client().ask(statement)
+    }
+
+    /// Sends on a connection of its own.
+    fn send(&self, statement: &str) -> Client {
+        let mut client = self.proxy.client();
+        client.send(&query(statement));
+        client
+    }
+
+    /// One more write of an unrelated session is at the primary, without an answer.
+    fn occupy_primary(&mut self) {
+        let id = format!("busy-{}", self.busy.len());
+        let reply = self.primary.hold(&id);
+        let client = self.send(&write(&id, UNRELATED, 60_000));
+        self.primary.sees(&id);
+        self.busy.push(Unanswered { client, reply });
+    }
+
+    /// Answers one of the writes that keep the primary busy.
+    fn free_primary(&mut self) {
+        let mut freed = self.busy.pop().expect("a busy one");
+        freed.reply.send(committed(&self.primary)).expect("the host waits");
+        assert_eq!(freed.client.answer().value.as_deref(), Some("primary"));
+    }
+
+    /// Reads until every replica has answered, and so has told its role and position.
+    fn teach_replicas(&self) {
+        let mut silent: Vec<&str> = self.replicas.iter().map(|replica| replica.state().value).collect();
+        for _ in 0..200 {
+            self.lessons.set(self.lessons.get() + 1);
+            let answer = self.ask(&session_read(&format!("teach-{}", self.lessons.get()), NEVER_WROTE));
+            silent.retain(|&name| answer.value.as_deref() != Some(name));
+            if silent.is_empty() {
+                return;
+            }
+        }
+        panic!("{silent:?} got no read");
+    }
+
+    /// Leaves the program without a connection to the replica. The next one gets no session until the test says so.
+    fn hold_sessions_at_replica(&self) {
+        let replica = self.replica();
+        let answer = replica.state().answer();
+        replica.reply("last", Reply::Close(answer.whole()));
+        assert_eq!(self.ask(&session_read("last", NEVER_WROTE)).value.as_deref(), Some(answer.value));
+        while replica.host.next() != Seen::Closed {}
+        replica.host.hold_sessions();
+    }
+
+    /// Sends a read for which the program opens a connection to the replica that gets no session yet.
+    fn send_dialling(&self, statement: &str) -> Client {
+        let client = self.send(statement);
+        assert_eq!(self.replica().host.next(), Seen::Opened);
+        client
+    }
+
+    /// The read is served by the primary, and no replica sees it.
+    fn served_by_primary(&self, id: &str, answer: &Answer) {
+        assert_eq!(answer.value.as_deref(), Some("primary"), "{answer:?}");
+        for replica in &self.replicas {
+            self.unseen(id, &replica.seen_so_far());
+        }
+    }
+
+    fn unseen(&self, id: &str, seen: &[Seen]) {
+        let query = seen.iter().find(|event| matches!(event, Seen::Query(text) if id_of(text) == id));
+        assert_eq!(query, None);
+    }
+
+    /// The session's next read is served by the primary.
+    fn next_read_sees_the_write(&self) {
+        let answer = self.ask(&session_read("after", SESSION));
+        self.served_by_primary("after", &answer);
+    }
+
+    /// The connection that came up late serves the next read that may go to the replica, which opens no other.
+    fn late_connection_serves(&self, never_written: &str) {
+        let answer = self.ask(&session_read("reuses", NEVER_WROTE));
+        assert_eq!(answer.value.as_deref(), Some(self.replica().state().value), "{answer:?}");
+        let seen = self.replica().seen_so_far();
+        self.unseen(never_written, &seen);
+        assert!(!seen.contains(&Seen::Opened), "{seen:?}");
+    }
+}
+
+/// Nothing comes behind CommandComplete, and the connection stays open.
+#[test]
+fn a_write_whose_answer_stops_behind_its_completion_is_answered_soon_and_seen_by_the_next_read() {
+    let group = Group::start(&["replica"], remembering);
+    let cut = group.primary.state().answer().up_to_completion();
+    group.primary.reply("cut", Reply::Bytes(cut));
+    let begun = Instant::now();
+    let answer = group.ask(&write("cut", SESSION, PATIENT_MS));
+    assert_eq!((answer.value.as_deref(), answer.end), (Some("primary"), End::Ready), "{}", answer.message);
+    assert!(begun.elapsed() < SOON, "after {:?}", begun.elapsed());
+    group.next_read_sees_the_write();
+}
+
+/// The write comes first and waits for a place at the primary. It is sent and answered while the read waits for its
+/// connection.
+#[test]
+fn a_write_that_is_answered_while_a_read_waits_for_its_connection_is_seen_by_it() {
+    let mut group = Group::start(&["replica"], remembering);
+    group.hold_sessions_at_replica();
+    while group.busy.len() < PLACES {
+        group.occupy_primary();
+    }
+    let mut writer = group.send(&write("held", SESSION, PATIENT_MS));
+    group.proxy.has_open(PLACES as u64 + 1);
+    let mut reader = group.send_dialling(&session_read("dialling", SESSION));
+    group.free_primary();
+    assert_eq!(writer.answer().value.as_deref(), Some("primary"));
+    group.replica().host.release_sessions();
+    group.served_by_primary("dialling", &reader.answer());
+    group.late_connection_serves("dialling");
+}
+
+/// The read is on its way before its session writes.
+#[test]
+fn a_write_that_begins_and_ends_while_a_read_waits_for_its_connection_is_seen_by_it() {
+    let group = Group::start(&["replica"], remembering);
+    group.hold_sessions_at_replica();
+    let mut reader = group.send_dialling(&session_read("dialling", SESSION));
+    let answer = group.ask(&write("late", SESSION, PATIENT_MS));
+    assert_eq!(answer.value.as_deref(), Some("primary"), "{answer:?}");
+    group.replica().host.release_sessions();
+    group.served_by_primary("dialling", &reader.answer());
+    group.late_connection_serves("dialling");
+}
+
+/// Every place is in use when the read comes. Its session's write is answered, and the place that this frees at the
+/// primary is taken by other writes; then a place at the replica is free.
+#[test]
+fn a_write_that_is_answered_while_a_read_is_held_is_seen_by_it() {
+    let mut group = Group::start(&["replica"], remembering);
+    while group.busy.len() < PLACES - 1 {
+        group.occupy_primary();
+    }
+    let own = group.primary.hold("own");
+    let mut writer = group.send(&write("own", SESSION, PATIENT_MS));
+    group.primary.sees("own");
+    let mut at_replica = Vec::new();
+    for n in 0..PLACES {
+        let id = format!("place-{n}");
+        let reply = group.replica().hold(&id);
+        let client = group.send(&session_read(&id, NEVER_WROTE));
+        group.replica().sees(&id);
+        at_replica.push(Unanswered { client, reply });
+    }
+    let next_writes: Vec<Unanswered> = ["next-0", "next-1"]
+        .map(|id| {
+            let reply = group.primary.hold(id);
+            Unanswered { client: group.send(&write(id, UNRELATED, PATIENT_MS)), reply }
+        })
+        .into();
+    group.proxy.has_open(2 * PLACES as u64 + 2);
+    let mut reader = group.send(&session_read("held", SESSION));
+    group.proxy.has_open(2 * PLACES as u64 + 3);
+    own.send(committed(&group.primary)).expect("the host waits");
+    assert_eq!(writer.answer().value.as_deref(), Some("primary"));
+    for _ in &next_writes {
+        assert!(id_of(&group.primary.host.query()).starts_with("next-"));
+    }
+    let mut freed = at_replica.pop().expect("four");
+    freed.reply.send(Reply::Bytes(group.replica().state().answer().whole())).expect("the host waits");
+    assert_eq!(freed.client.answer().value.as_deref(), Some("replica"));
+    for mut written in next_writes {
+        written.reply.send(committed(&group.primary)).expect("the host waits");
+        assert_eq!(written.client.answer().value.as_deref(), Some("primary"));
+    }
+    group.served_by_primary("held", &reader.answer());
+}
+
+/// The first attempt is at one replica as its session's write is answered, and fails; the other would take it.
+fn repeat_sees_the_write(failure: Reply) {
+    let group = Group::start(&["replica-1", "replica-2"], remembering);
+    let held = [0, 1].map(|n: usize| group.replicas[n].hold("repeated"));
+    let mut reader = group.send(&session_read("repeated", SESSION));
+    let first = first_to_see(&group.replicas, "repeated");
+    // The other one would answer.
+    let other = &group.replicas[1 - first];
+    held[1 - first].send(Reply::Bytes(other.state().answer().whole())).expect("kept");
+    let answer = group.ask(&write("between", SESSION, PATIENT_MS));
+    assert_eq!(answer.value.as_deref(), Some("primary"), "{answer:?}");
+    held[first].send(failure).expect("the host waits");
+    let answer = reader.answer();
+    assert_eq!(answer.value.as_deref(), Some("primary"), "{answer:?}");
+    group.unseen("repeated", &other.seen_so_far());
+}
+
+/// The number of the host that sees the statement of this id first.
+fn first_to_see(hosts: &[ScriptedHost], id: &str) -> usize {
+    let begun = Instant::now();
+    while begun.elapsed() < PATIENCE {
+        for (n, host) in hosts.iter().enumerate() {
+            let seen = host.seen_so_far();
+            if seen.iter().any(|event| matches!(event, Seen::Query(text) if id_of(text) == id)) {
+                return n;
+            }
+        }
+        thread::yield_now();
+    }
+    panic!("no host sees {id}");
+}
+
+#[test]
+fn the_repeat_of_a_read_that_failed_sees_a_write_that_was_answered_meanwhile() {
+    repeat_sees_the_write(Reply::Error("XX000"));
+}
+
+#[test]
+fn the_repeat_of_a_read_that_was_reset_sees_a_write_that_was_answered_meanwhile() {
+    repeat_sees_the_write(Reply::Close(Vec::new()));
+}
+
+#[test]
+fn a_write_whose_client_left_counts_for_the_next_read() {
+    let group = Group::start(&["replica"], remembering);
+    group.primary.reply("left", Reply::Silence);
+    let writer = group.send(&write("left", SESSION, PATIENT_MS));
+    group.primary.sees("left");
+    drop(writer);
+    while group.primary.host.next() != Seen::Closed {}
+    group.next_read_sees_the_write();
+}
+
+/// Answer and departure are there at once.
+#[test]
+fn a_write_whose_client_left_as_its_answer_came_counts_for_the_next_read() {
+    let group = Group::start(&["replica"], remembering);
+    let reply = group.primary.hold("left");
+    let writer = group.send(&write("left", SESSION, PATIENT_MS));
+    group.primary.sees("left");
+    group.primary.host.replies_so_far();
+    group.proxy.freeze();
+    drop(writer);
+    reply.send(committed(&group.primary)).expect("the host waits");
+    group.primary.host.replied();
+    group.proxy.thaw();
+    group.proxy.has_open(1);
+    group.next_read_sees_the_write();
+}
+
+/// A write that comes to nothing for its client.
+fn failed_write_counts(patience_ms: u32, reply: Reply) {
+    let group = Group::start(&["replica"], one_attempt);
+    group.primary.reply("lost", reply);
+    let answer = group.ask(&write("lost", SESSION, patience_ms));
+    assert_eq!((answer.code.as_str(), answer.end), ("40003", End::Ready), "{}", answer.message);
+    group.next_read_sees_the_write();
+}
+
+#[test]
+fn a_write_without_an_answer_in_time_counts_for_the_next_read() {
+    failed_write_counts(1_500, Reply::Silence);
+}
+
+#[test]
+fn a_write_whose_connection_was_reset_counts_for_the_next_read() {
+    failed_write_counts(PATIENT_MS, Reply::Close(Vec::new()));
+}
+
+#[test]
+fn a_write_that_ended_in_an_internal_error_counts_for_the_next_read() {
+    failed_write_counts(PATIENT_MS, Reply::Error("XX000"));
+}
+
+#[test]
+fn a_read_does_not_go_to_a_replica_while_a_write_of_its_session_is_out() {
+    let group = Group::start(&["replica"], remembering);
+    let _unanswered = group.primary.hold("out");
+    let _writer = group.send(&write("out", SESSION, PATIENT_MS));
+    group.primary.sees("out");
+    group.next_read_sees_the_write();
+}
+
+/// The replica was inside the bound when the read was sent on its way.
+#[test]
+fn a_bounded_read_is_not_written_to_a_replica_that_left_the_bound_while_its_connection_came_up() {
+    let group = Group::start(&["replica"], remembering);
+    let position = unix_ms();
+    group.replica().set_position(HostPosition::UnixMs(position));
+    group.hold_sessions_at_replica();
+    let mut reader = group.send_dialling(&bounded_read("bounded", PATIENT_MS));
+    clock_passes(position + BOUND_MS);
+    group.replica().host.release_sessions();
+    group.served_by_primary("bounded", &reader.answer());
+    group.late_connection_serves("bounded");
+}
+
+/// Positions are whole milliseconds, and that of a commit is rounded up.
+#[test]
+fn a_replica_at_the_position_of_a_commit_has_it_and_one_a_millisecond_before_has_not() {
+    let group = Group::start(&["replica"], remembering);
+    let commit = unix_ms() + 1;
+    let answer = HostAnswer { commit_ms: Some(commit), ..group.primary.state().answer() };
+    group.primary.reply("own", Reply::Bytes(answer.whole()));
+    assert_eq!(group.ask(&write("own", SESSION, PATIENT_MS)).value.as_deref(), Some("primary"));
+    // A position ahead of the clock is none.
+    clock_passes(commit);
+    for (id, position, expected) in [("before", commit - 1, "primary"), ("at", commit, "replica")] {
+        group.replica().set_position(HostPosition::UnixMs(position));
+        group.teach_replicas();
+        let answer = group.ask(&session_read(id, SESSION));
+        assert_eq!(answer.value.as_deref(), Some(expected), "at {position} of {commit}: {answer:?}");
+    }
+}
+
+/// The host that is held for the primary says that it is none, in an answer that goes no further. Its own last
+/// position is old, and so is the replica's.
+#[test]
+fn a_primary_that_says_it_is_none_is_read_from_as_one_no_more_while_that_answer_is_still_out() {
+    let mut group = Group::start(&["replica"], remembering);
+    group.free_primary();
+    group.primary.set_position(HostPosition::UnixMs(unix_ms()));
+    let answer = HostAnswer { commit_ms: None, ..group.primary.state().answer() };
+    group.primary.reply("own", Reply::Bytes(answer.whole()));
+    assert_eq!(group.ask(&write("own", SESSION, PATIENT_MS)).value.as_deref(), Some("primary"));
+    clock_passes(unix_ms() + BOUND_MS);
+    let stepped_down = HostAnswer { value: "v", role: Some(HostRole::Reader), commit_ms: None };
+    group.primary.reply("silent", Reply::Bytes(stepped_down.row_and_notes()));
+    let begun = Instant::now();
+    let _silent = group.send(&write("silent", UNRELATED, PATIENT_MS));
+    group.proxy.logged("is no longer primary");
+    assert!(begun.elapsed() < SOON, "after {:?}", begun.elapsed());
+    group.proxy.has_open(1);
+    let reads =
+        [bounded_read("bounded", 1_000), session_read("own-read", SESSION).replace("d=20000", "d=4000")];
+    for read in &reads {
+        let answer = group.ask(read);
+        assert_eq!((answer.value, answer.code.as_str()), (None, "53300"), "{}", answer.message);
+    }
+    for host in [&group.primary, group.replica()] {
+        let seen = host.seen_so_far();
+        reads.iter().for_each(|read| group.unseen(id_of(read), &seen));
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,16 +2,16 @@
 //! among them. Everything a peer sees is an event that a test waits for; nothing here sleeps.
 #![allow(dead_code, reason = "each file of stories uses its part of the peers")]
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Longer than anything here takes: only a broken program makes a test wait this long.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -84,6 +84,26 @@
     replies: Receiver<()>,
     /// By how much sessions come up late, but for the first.
     late: Arc<Mutex<Duration>>,
+    /// Shut while no session may come up.
+    gate: Arc<Gate>,
+}
+
+/// What threads wait at while it is shut.
+#[derive(Default)]
+struct Gate {
+    shut: Mutex<bool>,
+    opened: Condvar,
+}
+
+impl Gate {
+    fn set(&self, shut: bool) {
+        *self.shut.lock().expect("lock") = shut;
+        self.opened.notify_all();
+    }
+    fn pass(&self) {
+        let shut = self.shut.lock().expect("lock");
+        drop(self.opened.wait_while(shut, |shut| *shut).expect("lock"));
+    }
 }
 
 impl Host {
@@ -98,6 +118,8 @@
         let (replied, replies) = channel();
         let late: Arc<Mutex<Duration>> = Arc::default();
         let delay = late.clone();
+        let gate: Arc<Gate> = Arc::default();
+        let held_at = gate.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let copy = || stream.try_clone().expect("clone");
@@ -109,10 +131,11 @@
                 } else {
                     Duration::ZERO
                 };
-                let replied = replied.clone();
+                let (replied, gate) = (replied.clone(), held_at.clone());
                 thread::spawn(move || {
                     let _ = tell.send(Seen::Opened);
                     thread::sleep(delay);
+                    gate.pass();
                     let _ = converse(stream, &*script, &count, (&tell, &replied));
                     // `end_connections` holds a copy.
                     let _ = own.shutdown(std::net::Shutdown::Both);
@@ -120,7 +143,7 @@
                 });
             }
         });
-        Host { address, seen, connections, replies, late }
+        Host { address, seen, connections, replies, late, gate }
     }
     /// One whose first session comes up at once, and the others so much later; it closes on the first query.
     pub fn late(by: Duration) -> Host {
@@ -140,7 +163,8 @@
                 let _ = tell.send(Seen::Opened);
             }
         });
-        Host { address, seen, connections: Arc::default(), replies: channel().1, late: Arc::default() }
+        let (connections, late, gate) = Default::default();
+        Host { address, seen, connections, replies: channel().1, late, gate }
     }
     /// Writes this to all of its connections and ends them.
     pub fn end_connections(&self, last: &[u8]) {
@@ -150,6 +174,18 @@
         }
     }
 
+    /// From now on connections are accepted, and no session on them comes up until `release_sessions`.
+    pub fn hold_sessions(&self) {
+        self.gate.set(true);
+    }
+    pub fn release_sessions(&self) {
+        self.gate.set(false);
+    }
+
+    /// How many replies have been written that the test has not looked at; they count as looked at then.
+    pub fn replies_so_far(&self) -> usize {
+        self.replies.try_iter().count()
+    }
     /// Waits until the next reply has been written.
     pub fn replied(&self) {
         self.replies.recv_timeout(PATIENCE).expect("the host replies");
@@ -207,17 +243,153 @@
 
 /// A whole answer with one value, from a primary.
 pub fn row(value: &str) -> Vec<u8> {
+    HostAnswer { value, role: Some(HostRole::Writer), commit_ms: None }.whole()
+}
+
+/// The role that an answer tells of its host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum HostRole {
+    Writer,
+    Reader,
+}
+
+impl HostRole {
+    fn name(self) -> &'static str {
+        match self {
+            HostRole::Writer => "writer",
+            HostRole::Reader => "reader",
+        }
+    }
+}
+
+/// An answer with one value, and what it tells of its host.
+#[derive(Clone, Copy, Debug)]
+pub struct HostAnswer<'a> {
+    pub value: &'a str,
+    pub role: Option<HostRole>,
+    /// The position in Unix milliseconds, where it is told.
+    pub commit_ms: Option<u64>,
+}
+
+impl HostAnswer<'_> {
+    /// All of it, up to ReadyForQuery.
+    pub fn whole(&self) -> Vec<u8> {
+        [self.up_to_completion(), self.notes(), message(b'Z', b"I")].concat()
+    }
+    /// Up to CommandComplete: neither the notes on the host nor ReadyForQuery.
+    pub fn up_to_completion(&self) -> Vec<u8> {
+        [row_data(self.value), message(b'C', b"SELECT 1\0")].concat()
+    }
+    /// The row and the notes on the host, without CommandComplete.
+    pub fn row_and_notes(&self) -> Vec<u8> {
+        [row_data(self.value), self.notes()].concat()
+    }
+    fn notes(&self) -> Vec<u8> {
+        let note = |name: &str, value: &str| message(b'S', format!("{name}\0{value}\0").as_bytes());
+        let role = self.role.map(|role| note("server_role", role.name()));
+        let commit = self.commit_ms.map(|ms| note("commit_clock", &ms.to_string()));
+        [role.unwrap_or_default(), commit.unwrap_or_default()].concat()
+    }
+}
+
+/// RowDescription and DataRow of one value.
+fn row_data(value: &str) -> Vec<u8> {
     let mut description = b"\0\x01payload\0".to_vec();
     description.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 255, 255, 255, 255, 255, 255, 0, 1]);
     let data = [&b"\0\x01"[..], &(value.len() as u32).to_be_bytes(), value.as_bytes()].concat();
-    [
-        message(b'T', &description),
-        message(b'D', &data),
-        message(b'C', b"SELECT 1\0"),
-        message(b'S', b"server_role\0writer\0"),
-        message(b'Z', b"I"),
-    ]
-    .concat()
+    [message(b'T', &description), message(b'D', &data)].concat()
+}
+
+/// The wall clock, in whole Unix milliseconds.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+/// Returns once the wall clock is past this Unix millisecond.
+pub fn clock_passes(ms: u64) {
+    while unix_ms() <= ms {
+        thread::park_timeout(Duration::from_millis(ms + 1 - unix_ms().min(ms)));
+    }
+}
+
+/// The id in a statement's comment.
+pub fn id_of(statement: &str) -> &str {
+    statement.split("id=").nth(1).and_then(|rest| rest.split(',').next()).unwrap_or("")
+}
+
+/// A database host that answers every statement at once from the state that it is in, but for those that the test
+/// answers itself, by their ids.
+pub struct ScriptedHost {
+    pub host: Host,
+    state: Arc<Mutex<HostState>>,
+    replies: Arc<Mutex<BTreeMap<String, VecDeque<Receiver<Reply>>>>>,
+}
+
+/// What the answers of a `ScriptedHost` tell.
+#[derive(Clone, Copy, Debug)]
+pub struct HostState {
+    pub value: &'static str,
+    pub role: HostRole,
+    pub position: HostPosition,
+}
+
+/// The position that answers tell.
+#[derive(Clone, Copy, Debug)]
+pub enum HostPosition {
+    /// The moment of the answer.
+    Now,
+    UnixMs(u64),
+}
+
+impl HostState {
+    pub fn answer(&self) -> HostAnswer<'static> {
+        let commit_ms = match self.position {
+            HostPosition::Now => unix_ms(),
+            HostPosition::UnixMs(ms) => ms,
+        };
+        HostAnswer { value: self.value, role: Some(self.role), commit_ms: Some(commit_ms) }
+    }
+}
+
+impl ScriptedHost {
+    pub fn start(state: HostState) -> ScriptedHost {
+        let state = Arc::new(Mutex::new(state));
+        let replies: Arc<Mutex<BTreeMap<String, VecDeque<Receiver<Reply>>>>> = Arc::default();
+        let (current, own_replies) = (state.clone(), replies.clone());
+        let host = Host::start(move |_, statement| {
+            let own =
+                own_replies.lock().expect("lock").get_mut(id_of(statement)).and_then(VecDeque::pop_front);
+            match own {
+                Some(reply) => reply.recv_timeout(PATIENCE).unwrap_or(Reply::Silence),
+                None => Reply::Bytes(current.lock().expect("lock").answer().whole()),
+            }
+        });
+        ScriptedHost { host, state, replies }
+    }
+    /// The next statement of this id is answered with what is sent here, once it is.
+    pub fn hold(&self, id: &str) -> Sender<Reply> {
+        let (reply, held) = channel();
+        self.replies.lock().expect("lock").entry(id.to_string()).or_default().push_back(held);
+        reply
+    }
+    /// The next statement of this id is answered with this.
+    pub fn reply(&self, id: &str, reply: Reply) {
+        self.hold(id).send(reply).expect("kept");
+    }
+    pub fn state(&self) -> HostState {
+        *self.state.lock().expect("lock")
+    }
+    pub fn set_position(&self, position: HostPosition) {
+        self.state.lock().expect("lock").position = position;
+    }
+    /// Waits until the host sees the statement of this id; what comes before it is passed over.
+    pub fn sees(&self, id: &str) {
+        while id_of(&self.host.query()) != id {}
+    }
+    /// What the host has seen so far and the test has not looked at.
+    pub fn seen_so_far(&self) -> Vec<Seen> {
+        self.host.seen.try_iter().collect()
+    }
 }
 
 pub fn error(code: &str) -> Vec<u8> {
@@ -421,6 +593,13 @@
     format!(r#"{{"index":{index},"snapshot":{full},"endpoints":[{}]}}"#, entries.join(","))
 }
 
+/// Adds a door for operators to a configuration.
+pub fn add_console(config: String) -> String {
+    let listen = config.split('"').nth(7).expect("the address");
+    let listen = listen.replace(&PORT.to_string(), &CONSOLE_PORT.to_string());
+    config.replacen('{', &format!("{{\"console\":\"{listen}\","), 1)
+}
+
 /// The program, with the peers it was told of.
 pub struct Proxy {
     child: Child,
@@ -442,14 +621,7 @@
     }
     /// The same, with a door for operators.
     pub fn with_console(known: &[&Host], sockets: u32) -> Proxy {
-        Proxy::start_with(known, sockets, |config| {
-            let listen = config
-                .split('"')
-                .nth(7)
-                .expect("the address")
-                .replace(&PORT.to_string(), &CONSOLE_PORT.to_string());
-            config.replacen('{', &format!("{{\"console\":\"{listen}\","), 1)
-        })
+        Proxy::start_with(known, sockets, add_console)
     }
     /// The same, on a configuration that has been changed.
     pub fn start_with(known: &[&Host], sockets: u32, change: impl Fn(String) -> String) -> Proxy {
@@ -513,6 +685,13 @@
             format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()),
         )
     }
+    /// Waits until so many requests are open in the program.
+    pub fn has_open(&self, requests: u64) {
+        let begun = Instant::now();
+        while self.figures()["inflight"].as_u64() != Some(requests) {
+            assert!(begun.elapsed() < PATIENCE, "{} open, not {requests}", self.figures()["inflight"]);
+        }
+    }
     pub fn figures(&self) -> serde_json::Value {
         serde_json::from_str(&self.call("GET", "/ops/stats", "").1).expect("JSON")
     }
