Hear every proxy of a large fleet, and say all that is to be said

Cause: three bounds on the talk did not grow with the fleet. 2,000 datagrams were read in a second, whoever spoke: proxies that speak ten times a second reach that at 200. The socket kept what the machine keeps by default. A message went out as two datagrams at most, and what did not fit into them was dropped without a word, always the same end of it.

Change: 20 reads a second for each proxy, 2,000 at least. The socket asks for room for two datagrams of each proxy; where the machine allows less than one, the log says so (that line is not tested: the machine here allows 4 MiB). A message goes out as as many datagrams as it needs, with a yield between them. The sender's number is found by a map.

--- a/crates/talk/src/door.rs
+++ b/crates/talk/src/door.rs
@@ -6,8 +6,10 @@
 
 use crate::message::{Datagram, Item, Message, Sender, Unreadable};
 
-/// Datagrams read in a second at most; beyond that they wait, and the machine drops what it has no room for.
-const MOST_READ: u32 = 2_000;
+/// Datagrams read in a second: so many at least, and for each proxy as many as one says at most. Beyond that they wait,
+/// and the machine drops what it has no room for.
+const LEAST_READS: u32 = 2_000;
+const READS_PER_PROXY: u32 = 20;
 /// Of one sender, so many that come late, in another order, are still taken: each is a bit.
 const WINDOW: u32 = 64;
 /// A process that claims to have started this much after the present is not believed, in milliseconds: it would shut out
@@ -86,7 +88,8 @@
 pub struct Door {
     own: Sender,
     heard: Vec<Option<Heard>>,
-    /// Reads left in this second, and when it began.
+    /// Reads allowed in a second, those left in this one, and when it began.
+    reads_per_second: u32,
     left: (u32, u64),
     /// What is counted.
     pub figures: Figures,
@@ -96,7 +99,10 @@
     /// For this proxy among so many, whose process started at this time.
     pub fn new(ordinal: u16, proxies: usize, incarnation: u64) -> Door {
         let own = Sender { ordinal, incarnation, number: 0 };
-        Door { own, heard: vec![None; proxies], left: (MOST_READ, 0), figures: Figures::default() }
+        let all = u32::try_from(proxies).unwrap_or(u32::MAX).saturating_mul(READS_PER_PROXY);
+        let reads_per_second = all.max(LEAST_READS);
+        let (heard, left) = (vec![None; proxies], (reads_per_second, 0));
+        Door { own, heard, reads_per_second, left, figures: Figures::default() }
     }
 
     /// The next datagram, with as many of these items as fit, and how many those are.
@@ -122,7 +128,7 @@
     /// Whether one more datagram may be read now; if not, from when on.
     pub fn may_read(&mut self, now_us: u64) -> Result<(), u64> {
         if now_us >= self.left.1.saturating_add(1_000_000) {
-            self.left = (MOST_READ, now_us);
+            self.left = (self.reads_per_second, now_us);
         }
         if self.left.0 == 0 {
             self.figures.floods += 1;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -14,20 +14,26 @@
 use sillfold_talk::message::MOST;
 use sillfold_talk::{Door, Figures, Item};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tracing::info;
+use tracing::{info, warn};
 
 /// The wait before an address that another process has is tried again.
 const RETRY: Duration = Duration::from_millis(250);
 /// Messages that may wait to be sent: the newest counts, so few.
 const WAITING: usize = 4;
+/// Datagrams of each proxy that may wait to be read. Guards against words that are lost because all speak at once.
+const WAITING_OF_EACH: usize = 2;
 
 /// This proxy's end of the talk.
 pub struct Peers {
     core: Rc<Core>,
     talk: Talk,
+    /// The number of the proxy at each address.
+    numbers: BTreeMap<SocketAddr, u16>,
     door: RefCell<Door>,
     said: Receiver<Vec<Item>>,
     /// Closed once the proxy is told to stop.
@@ -41,7 +47,9 @@
         let door = RefCell::new(Door::new(talk.ordinal, talk.each.len(), started_ms));
         let (say, said) = async_channel::bounded(WAITING);
         core.talks_to(say);
-        Peers { core, talk, door, said, stopping: async_channel::bounded(1) }
+        // Of two proxies at one address the first counts.
+        let numbers = talk.each.iter().copied().zip(0..=u16::MAX).rev().collect();
+        Peers { core, talk, numbers, door, said, stopping: async_channel::bounded(1) }
     }
 
     /// What is counted since the start.
@@ -64,9 +72,10 @@
     async fn talk(&self) {
         let mut told = false;
         loop {
-            match Post::bind(self.talk.listen) {
+            match Post::bind(self.talk.listen, self.talk.each.len() * WAITING_OF_EACH) {
                 Ok(post) => {
                     info!(target: "peers", "talks with {} others at {}", self.talk.each.len() - 1, self.talk.listen);
+                    self.check_room(&post);
                     // What was to be said meanwhile is old.
                     while self.said.try_recv().is_ok() {}
                     future::or(self.hear(&post), self.say(&post)).await;
@@ -86,32 +95,48 @@
         }
     }
 
-    /// Sends what the module has to say, to all at once where there is an address for that.
+    /// Tells operators where the machine allows less room than all proxies may need.
+    fn check_room(&self, post: &Post) {
+        let (proxies, waiting) = (self.talk.each.len(), post.waiting().unwrap_or(0));
+        if waiting < proxies {
+            warn!(target: "peers", "{waiting} datagrams may wait to be read, and {proxies} proxies may speak at once: \
+                raise net.core.rmem_max");
+        }
+    }
+
+    /// Sends what the module has to say: what does not fit into one datagram goes into the next.
     async fn say(&self, post: &Post) {
         while let Ok(items) = self.said.recv().await {
             let mut rest = &items[..];
-            // What does not fit into one datagram goes into the next; the module says little more than one holds.
-            for _ in 0..2 {
-                let mut door = self.door.borrow_mut();
-                let (datagram, packed) = door.pack(rest);
-                let one = |to| post.send_now(datagram.bytes(), to).is_ok();
-                let sent = match self.talk.all {
-                    Some(all) => one(all),
-                    None => {
-                        let others = self.talk.each.iter().enumerate();
-                        let others = others.filter(|(n, _)| *n != usize::from(self.talk.ordinal));
-                        others.fold(true, |sent, (_, to)| one(*to) && sent)
-                    }
-                };
-                door.sent(&datagram, sent);
-                rest = &rest[packed..];
-                if rest.is_empty() || packed == 0 {
+            while !rest.is_empty() {
+                let packed = self.say_first(post, rest);
+                if packed == 0 {
                     break;
                 }
+                rest = &rest[packed..];
+                // Guards against a long message to many proxies that keeps everything else waiting.
+                future::yield_now().await;
             }
         }
     }
 
+    /// Sends as many items as one datagram holds, to all at once where there is an address for that; how many it was.
+    fn say_first(&self, post: &Post, items: &[Item]) -> usize {
+        let mut door = self.door.borrow_mut();
+        let (datagram, packed) = door.pack(items);
+        let one = |to| post.send_now(datagram.bytes(), to).is_ok();
+        let sent = match self.talk.all {
+            Some(all) => one(all),
+            None => {
+                let others = self.talk.each.iter().enumerate();
+                let others = others.filter(|(n, _)| *n != usize::from(self.talk.ordinal));
+                others.fold(true, |sent, (_, to)| one(*to) && sent)
+            }
+        };
+        door.sent(&datagram, sent);
+        packed
+    }
+
     /// Takes in what comes, so much in a second.
     async fn hear(&self, post: &Post) {
         // One byte more than any of ours: a longer one shows.
@@ -132,7 +157,7 @@
                     continue;
                 }
             };
-            let who = self.talk.each.iter().position(|a| *a == from).and_then(|n| u16::try_from(n).ok());
+            let who = self.numbers.get(&from).copied();
             let taken = self.door.borrow_mut().take(who, &bytes[..n], self.core.clock.now() / 1_000);
             if let Ok(message) = taken {
                 self.core.heard(message.sender.ordinal, &message.items);
--- a/src/net/world.rs
+++ b/src/net/world.rs
@@ -28,6 +28,8 @@
 const BACKLOG: i32 = 1024;
 /// What the machine may hold of a long value for one connection, at the side where it piles up.
 const SOCKET_BYTES: usize = 128 * 1024;
+/// What the machine takes for a short datagram that waits to be read, with what it keeps beside the bytes, and more.
+const WAITING_DATAGRAM_BYTES: usize = 1024;
 
 /// A future of a simulated world's.
 pub type Soon<T> = Pin<Box<dyn Future<Output = T>>>;
@@ -373,11 +375,24 @@
 }
 
 impl Post {
-    /// Takes an address, alone.
-    pub fn bind(at: SocketAddr) -> io::Result<Post> {
-        match outside() {
-            None => Async::<UdpSocket>::bind(at).map(Post::Machine),
-            Some(o) => o.post(at).map(Post::Other),
+    /// Takes an address, alone, where so many short datagrams may wait to be read, as far as the machine allows it.
+    pub fn bind(at: SocketAddr, waiting: usize) -> io::Result<Post> {
+        if let Some(outside) = outside() {
+            return outside.post(at).map(Post::Other);
+        }
+        let socket = Async::<UdpSocket>::bind(at)?;
+        let (options, wanted) = (SockRef::from(&socket), waiting.saturating_mul(WAITING_DATAGRAM_BYTES));
+        if options.recv_buffer_size()? < wanted {
+            options.set_recv_buffer_size(wanted)?;
+        }
+        Ok(Post::Machine(socket))
+    }
+
+    /// How many short datagrams may wait to be read.
+    pub fn waiting(&self) -> io::Result<usize> {
+        match self {
+            Post::Machine(s) => Ok(SockRef::from(s).recv_buffer_size()? / WAITING_DATAGRAM_BYTES),
+            Post::Other(_) => Ok(usize::MAX),
         }
     }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,11 +2,15 @@
 //! among them. Everything a peer sees is an event that a test waits for; nothing here sleeps.
 #![allow(dead_code, reason = "each file of stories uses its part of the peers")]
 
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
@@ -38,7 +42,7 @@
 
 /// A loopback address that nothing else uses. A port is never bound twice: a child that another test
 /// is just starting holds a copy of every listener until it runs its program.
-fn address() -> IpAddr {
+pub fn address() -> IpAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let [_, _, a, b] = std::process::id().to_be_bytes();
     IpAddr::from([127, 64 + (NEXT.fetch_add(1, Ordering::Relaxed) % 128) as u8, a, b.max(1)])
@@ -236,6 +240,56 @@
     }
 }
 
+/// Many database hosts in one thread, each at a port of its own. Each answers every statement with its own number.
+pub struct ManyHosts {
+    pub addresses: Vec<SocketAddr>,
+}
+
+impl ManyHosts {
+    pub fn start(count: usize) -> ManyHosts {
+        let address = address();
+        let listen = |_| TcpListener::bind((address, 0)).expect("a loopback port");
+        let listeners: Vec<TcpListener> = (0..count).map(listen).collect();
+        let addresses = listeners.iter().map(|l| l.local_addr().expect("bound")).collect();
+        thread::spawn(move || {
+            let executor = Rc::new(LocalExecutor::new());
+            for (number, listener) in listeners.into_iter().enumerate() {
+                let listener = Async::new(listener).expect("a listener");
+                executor.spawn(serve_sessions(executor.clone(), listener, number)).detach();
+            }
+            async_io::block_on(executor.run(future::pending::<()>()));
+        });
+        ManyHosts { addresses }
+    }
+}
+
+async fn serve_sessions(executor: Rc<LocalExecutor<'static>>, listener: Async<TcpListener>, number: usize) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let session = async move {
+            // An error is the end of the connection.
+            let _ = serve_session(stream, number).await;
+        };
+        executor.spawn(session).detach();
+    }
+}
+
+async fn serve_session(mut stream: Async<TcpStream>, number: usize) -> std::io::Result<()> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).await?;
+    stream.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4]).await?;
+    stream.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat()).await?;
+    loop {
+        let mut head = [0; 5];
+        stream.read_exact(&mut head).await?;
+        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]);
+        stream.read_exact(&mut vec![0; length as usize - 4]).await?;
+        if head[0] != b'Q' {
+            return Ok(());
+        }
+        stream.write_all(&row(&number.to_string())).await?;
+    }
+}
+
 pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
     let len = (body.len() as u32 + 4).to_be_bytes();
     [&[kind], &len[..], body].concat()
