Tell of a read whose primary hands over while its connection comes up

Cause: the look-up at the first byte has a case that no story on sockets showed: the host that was the primary when the read was sent on its way. And a connection whose answer was cut must serve nobody else.

--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -222,6 +222,8 @@
     let answer = group.ask(&write("cut", SESSION, PATIENT_MS));
     assert_eq!((answer.value.as_deref(), answer.end), (Some("primary"), End::Ready), "{}", answer.message);
     assert!(begun.elapsed() < SOON, "after {:?}", begun.elapsed());
+    // What may still come on that connection must meet nobody else's request.
+    while group.primary.host.next() != Seen::Closed {}
     group.next_read_sees_the_write();
 }
 
@@ -464,3 +466,28 @@
         reads.iter().for_each(|read| group.unseen(id_of(read), &seen));
     }
 }
+
+/// It was held for the primary as the read was sent on its way, and has said since that it is none.
+#[test]
+fn a_read_is_not_written_to_a_primary_that_handed_over_while_its_connection_came_up() {
+    let mut group = Group::start(&["replica"], remembering);
+    group.free_primary();
+    let answer = HostAnswer { commit_ms: None, ..group.primary.state().answer() };
+    group.primary.reply("own", Reply::Bytes(answer.whole()));
+    assert_eq!(group.ask(&write("own", SESSION, PATIENT_MS)).value.as_deref(), Some("primary"));
+    let last = group.primary.hold("last");
+    let mut writer = group.send(&write("last", UNRELATED, PATIENT_MS));
+    group.primary.sees("last");
+    group.primary.host.hold_sessions();
+    group.primary.seen_so_far();
+    let mut reader = group.send(&session_read("dialling", SESSION).replace("d=20000", "d=4000"));
+    // The connection that stood idle serves the write: the read needs one of its own.
+    assert_eq!(group.primary.host.next(), Seen::Opened);
+    let stepped_down = HostAnswer { value: "v", role: Some(HostRole::Reader), commit_ms: None };
+    last.send(Reply::Bytes(stepped_down.whole())).expect("the host waits");
+    assert_eq!(writer.answer().value.as_deref(), Some("v"));
+    group.primary.host.release_sessions();
+    let answer = reader.answer();
+    assert_eq!((answer.value, answer.code.as_str()), (None, "53300"), "{}", answer.message);
+    group.unseen("dialling", &group.primary.seen_so_far());
+}
