--- a/crates/lab/src/sim/agent.rs
+++ b/crates/lab/src/sim/agent.rs
@@ -1,6 +1,7 @@
 //! Simulated discovery: the list of hosts over HTTP, whole or watched. It owns what it has told whom. It must never
 //! tell the book that a proxy knows what could not reach it.
 
+use super::deployment::ListRole;
 use super::host::Fleet;
 use super::world::Us;
 use sillfold::net::world::{self, Listener, Spawner, Stream};
@@ -24,10 +25,12 @@
     pub stale: Cell<Option<u64>>,
     /// The version, the text, and which hosts it says are off.
     kept: RefCell<(u64, String, Vec<bool>)>,
+    /// Which hosts the list calls primary.
+    listed_primaries: RefCell<Vec<bool>>,
     machine: Cell<usize>,
     /// Watches opened so far, and up to which of them nothing is said any more.
     opened: Cell<u64>,
-    hushed: Cell<u64>,
+    silent: Cell<u64>,
     /// Since when each proxy's process could reach this one.
     reaches: RefCell<BTreeMap<usize, Us>>,
 }
@@ -36,13 +39,13 @@
     /// An agent of this fleet.
     pub fn new(fleet: Rc<Fleet>, machine: usize) -> Agent {
         let (stale, kept, machine) = (Cell::new(None), Default::default(), Cell::new(machine));
-        let (opened, hushed, reaches) = Default::default();
-        Agent { fleet, stale, kept, machine, opened, hushed, reaches }
+        let (opened, silent, reaches, listed_primaries) = Default::default();
+        Agent { fleet, stale, kept, listed_primaries, machine, opened, silent, reaches }
     }
 
     /// All open watches fall silent, and stay open.
-    pub fn hush(&self) {
-        self.hushed.set(self.opened.get());
+    pub fn silence(&self) {
+        self.silent.set(self.opened.get());
     }
 
     /// From now on a proxy's process can ask, on this machine.
@@ -75,19 +78,39 @@
         }
     }
 
+    /// Takes over the roles that are to show in the list by now.
+    fn update_roles(&self) {
+        let now = self.fleet.world.now();
+        let role = self.fleet.deployment.list_role;
+        let hosts = self.fleet.hosts.borrow();
+        let mut listed = self.listed_primaries.borrow_mut();
+        if listed.len() < hosts.len() {
+            *listed = hosts.iter().map(|h| h.primary && role != ListRole::Silent).collect();
+        }
+        let ListRole::Late(delay_ms) = role else { return };
+        for (host, listed) in hosts.iter().zip(listed.iter_mut()) {
+            if host.primary != *listed && host.role_since + delay_ms * 1_000 <= now {
+                *listed = host.primary;
+                self.fleet.index.set(self.fleet.index.get() + 1);
+            }
+        }
+    }
+
     /// The list as it is told, and its version.
     fn list(&self) -> (u64, String) {
+        self.update_roles();
         let now = self.fleet.index.get();
         let mut kept = self.kept.borrow_mut();
         if kept.0 != now && self.stale.get().is_none() {
             let unix = self.fleet.world.unix_ms() - self.fleet.world.now() / 1_000;
             let hosts = self.fleet.hosts.borrow();
-            let entries = hosts.iter().map(|h| {
+            let listed = self.listed_primaries.borrow();
+            let entries = hosts.iter().zip(listed.iter()).map(|(h, primary)| {
                 serde_json::json!({
-                    "name": h.name, "address": h.address.to_string(), "zone": if h.zone == 0 { "a" } else { "b" },
+                    "name": h.name, "address": h.address.to_string(), "zone": self.fleet.deployment.zone_name(h.zone),
                     "type": "m", "group": h.group, "status": h.status, "weight": 1.0,
                     "since_ms": if h.started == 0 { 1 } else { unix + h.started / 1_000 },
-                    "access": if h.primary { "writer" } else { "reader" },
+                    "access": if *primary { "writer" } else { "reader" },
                 })
             });
             let entries: Vec<serde_json::Value> = entries.collect();
@@ -144,7 +167,7 @@
         self.opened.set(self.opened.get() + 1);
         let number = self.opened.get();
         loop {
-            if self.hushed.get() >= number {
+            if self.silent.get() >= number {
                 // It stays open until the other side ends it.
                 while stream.read_with(|_| ()).await? > 0 {}
                 return Ok(());
--- a/crates/lab/src/sim/check.rs
+++ b/crates/lab/src/sim/check.rs
@@ -1,50 +1,11 @@
 //! The rules that hold whatever fails, as a book that is told what hosts, discovery and clients see. It owns what it
 //! was told and the first rule that was broken. It is pure: it must never look into a proxy, nor at a clock.
 
+use super::deployment::{Class, DedupScope, Effect, Need, Tokens};
+use super::freshness::Freshness;
 use super::world::{Machine, Us};
 use std::collections::{BTreeMap, VecDeque};
 
-/// How a class's requests may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Effect {
-    /// A read.
-    Safe,
-    /// A write that must not run twice.
-    Once,
-    /// A write whose repeats its group drops for so long.
-    Keyed(Us),
-}
-
-/// What a read may be behind.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Need {
-    /// Any data will do.
-    Any,
-    /// So much at most.
-    Bounded(Us),
-    /// Not behind the mark that the request brings.
-    Mark,
-    /// It is a write.
-    Write,
-}
-
-/// A class, as the page on rules has it.
-#[derive(Clone, Copy, Debug)]
-pub struct Class {
-    /// Its name.
-    pub name: &'static str,
-    /// What it needs.
-    pub need: Need,
-    /// How it may be repeated.
-    pub effect: Effect,
-    /// For how long its clients wait, in milliseconds.
-    pub patience_ms: u64,
-    /// Mean work at a host, in microseconds.
-    pub work: f64,
-    /// Its share of all requests.
-    pub share: f64,
-}
-
 /// Where an attempt stands, as its host knows.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum State {
@@ -56,18 +17,56 @@
     Refused,
 }
 
+/// A host, as the rules know it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Place {
+    /// Its number.
+    pub host: usize,
+    /// Its group.
+    pub group: usize,
+    /// Its zone.
+    pub zone: u8,
+}
+
+/// From where an attempt came to its host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Origin {
+    /// The process of the proxy that sent it.
+    pub process: Machine,
+    /// The number of the connection over which it came.
+    pub connection: u64,
+    /// When it was sent.
+    pub sent: Us,
+}
+
 struct Attempt {
-    host: usize,
-    group: usize,
-    number: u64,
+    place: Place,
+    connection: u64,
     at: Us,
     state: State,
 }
 
-/// What a host made, and the position that it showed.
+/// What a host answered, from data as of a position, and to which attempt.
 struct Made {
     id: String,
     position: Us,
+    host: usize,
+    origin: Origin,
+}
+
+/// What a client knows of the request that it has an answer to.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// Its id.
+    pub id: &'a str,
+    /// Its class.
+    pub class: &'a Class,
+    /// The session that it reads or writes in.
+    pub session: &'a str,
+    /// When its client sent it.
+    pub sent: Us,
+    /// The position of the session's last write, where the request carries it.
+    pub mark: Us,
 }
 
 /// A broken rule, and what its report is about.
@@ -97,7 +96,11 @@
     /// See there.
     pub overload_for: Us,
     /// Attempts at a request at most.
-    pub most_tries: usize,
+    pub max_attempts: usize,
+    /// How a session's own writes are known.
+    pub tokens: Tokens,
+    /// Whether every answer tells the position of its data.
+    pub answer_positions: bool,
     /// An attempt may begin for so long after its client has left.
     pub gone: Us,
     /// What an answer may be late by its way alone.
@@ -122,6 +125,8 @@
     /// When clients of open requests left, and attempts that began for one long after.
     left: BTreeMap<String, Us>,
     begun_late: u32,
+    /// What reads must reflect.
+    pub freshness: Freshness,
     /// The first broken rule.
     pub broken: Option<Broken>,
     /// Attempts, answers and refusals seen, to tell a day on which nothing happened.
@@ -155,6 +160,7 @@
             cold_work: BTreeMap::new(),
             left: BTreeMap::new(),
             begun_late: 0,
+            freshness: Freshness::default(),
             broken: None,
             counts: Counts::default(),
         }
@@ -195,39 +201,44 @@
         self.told.retain(|k, by| k.0 != proxy || *by <= after);
     }
 
-    /// The whole of an attempt is at a host, sent at this time over the connection of this number; `held` tells
-    /// whether the proxy still holds a connection open.
-    #[allow(clippy::too_many_arguments, reason = "all that a host sees of an attempt")]
+    /// The whole of an attempt is at a host; `held` tells whether the proxy still holds a connection open.
     pub fn attempt(
-        &mut self, now: Us, id: &str, class: &Class, (host, group): (usize, usize),
-        (proxy, number, sent): (Machine, u64, Us), held: impl Fn(u64) -> bool,
+        &mut self, now: Us, id: &str, class: &Class, place: Place, origin: Origin, held: impl Fn(u64) -> bool,
     ) -> usize {
         self.counts.attempts += 1;
         let f = self.figures;
+        let Place { host, .. } = place;
+        let Origin { process: proxy, connection, sent } = origin;
         let before = self.attempts.entry(id.to_string()).or_default();
         let mut faults = Vec::new();
-        if let Some(a) = before.iter().find(|a| a.state == State::Out && held(a.number)) {
-            faults
-                .push(("one attempt out", format!("{id} comes to host {host} while host {} has it", a.host)));
+        if let Some(a) = before.iter().find(|a| a.state == State::Out && held(a.connection)) {
+            let what = format!("{id} comes to host {host} while host {} has it", a.place.host);
+            faults.push(("one attempt out", what));
         }
         if let Some(a) = before.iter().find(|a| a.state != State::Refused) {
+            let rule = "no repeat beyond the class";
+            let after = sent.saturating_sub(a.at);
             match class.effect {
                 Effect::Safe => {}
-                Effect::Once => faults.push((
-                    "no repeat beyond the class",
-                    format!("{id} of {} comes again, and may have run at host {}", class.name, a.host),
-                )),
-                Effect::Keyed(window) if sent.saturating_sub(a.at) > window || a.group != group => {
-                    let after = sent.saturating_sub(a.at);
+                Effect::Once => {
+                    let (name, first) = (&class.name, a.place.host);
                     faults.push((
-                        "no repeat beyond the class",
-                        format!("{id} was sent again {after} us later, its key is kept for {window}"),
+                        rule,
+                        format!("{id} of {name} comes again, and may have run at host {first}"),
                     ));
                 }
-                Effect::Keyed(_) => {}
+                Effect::Keyed(scope, window_ms)
+                    if after > window_ms * 1_000 || !drops_repeats(scope, a.place, place) =>
+                {
+                    let what = format!(
+                        "{id} was sent again {after} us later, its key is kept for {window_ms} ms ({scope:?})"
+                    );
+                    faults.push((rule, what));
+                }
+                Effect::Keyed(..) => {}
             }
         }
-        if before.len() >= f.most_tries {
+        if before.len() >= f.max_attempts {
             faults
                 .push(("no repeat beyond the class", format!("{id} comes for the {}th time", before.len())));
         }
@@ -248,7 +259,7 @@
                 faults.push(("nothing begun for a client that left", what));
             }
         }
-        before.push(Attempt { host, group, number, at: now, state: State::Out });
+        before.push(Attempt { place, connection, at: now, state: State::Out });
         let index = before.len() - 1;
         for (rule, what) in faults {
             let host = format!("host {host} ");
@@ -282,33 +293,56 @@
         }
     }
 
-    /// A host made this answer, from data as of this position.
-    pub fn makes(&mut self, value: &str, id: &str, position: Us) {
-        self.made.insert(value.to_string(), Made { id: id.to_string(), position });
+    /// A host made this answer to an attempt, from data as of this position.
+    pub fn makes(&mut self, value: &str, id: &str, position: Us, host: usize, origin: Origin) {
+        self.made.insert(value.to_string(), Made { id: id.to_string(), position, host, origin });
     }
 
-    /// A client got a value for a request that it sent at this time, with this mark.
-    pub fn gets(&mut self, now: Us, id: &str, class: &Class, (sent, mark): (Us, Us), value: &str) {
+    /// A client got a value for its request.
+    pub fn gets(&mut self, now: Us, asked: Asked, value: &str) {
         self.counts.served += 1;
+        let Asked { id, class, .. } = asked;
         let Some(made) = self.made.get(value).filter(|m| m.id == id) else {
             let what = format!("{id} got {value:?}, which no host made for it");
             return self.breaks("no answer nobody made", now, what, &[id, value]);
         };
-        let behind = match class.need {
-            Need::Bounded(bound) => sent.saturating_sub(made.position + bound),
-            Need::Mark => mark.saturating_sub(made.position),
-            Need::Any | Need::Write => 0,
-        };
+        let behind = self.behind(asked, made);
         // Positions are told in milliseconds.
         if behind > 1_000 {
-            let what = format!("{id} of {} got data {behind} us too old", class.name);
-            self.breaks("no stale read", now, what, &[id]);
+            let (host, sent) = (made.host, made.origin.sent);
+            let what = format!(
+                "{id} of {} got data {behind} us too old, sent at {sent} us to host {host}",
+                class.name
+            );
+            let (session, host) = (format!("session {} ", asked.session), format!("host {host} "));
+            self.breaks("no stale read", now, what, &[id, &session, &host]);
         }
     }
 
+    /// How much older than they may be the data of a read are.
+    fn behind(&self, asked: Asked, made: &Made) -> Us {
+        let Origin { process, sent, .. } = made.origin;
+        let excused = self.freshness.is_excused(process, made.host, sent);
+        // Where answers tell positions, that of an old primary says itself that it is too old.
+        let excused_unless_told = excused && !self.figures.answer_positions;
+        let must_reflect = match (asked.class.need, self.figures.tokens) {
+            (Need::Any | Need::Write, _) => 0,
+            (Need::Session, Tokens::Carried) if excused_unless_told => 0,
+            (Need::Session, Tokens::Carried) => asked.mark,
+            (Need::Session, Tokens::Remembered) if excused => 0,
+            (Need::Session, Tokens::Remembered) => self.freshness.must_reflect(process, asked.session, sent),
+            (Need::Bounded(_), _) if excused_unless_told => 0,
+            (Need::Bounded(bound_ms), _) => {
+                let from = if excused { asked.sent } else { sent };
+                from.saturating_sub(bound_ms * 1_000)
+            }
+        };
+        must_reflect.saturating_sub(made.position)
+    }
+
     /// A client's request has no answer yet, or had one at this time; this late, the rule is broken.
     pub fn waits(&mut self, now: Us, id: &str, class: &Class, sent: Us, answered: bool) {
-        let late = now.saturating_sub(sent + class.patience_ms * 1_000);
+        let late = now.saturating_sub(sent + class.deadline_ms * 1_000);
         if late > self.figures.way {
             let what = if answered { "was answered" } else { "is not answered" };
             let what = format!("{id} of {} {what} {late} us after its time", class.name);
@@ -321,3 +355,12 @@
         self.breaks("one final answer in time", now, format!("{id}: {what}"), &[id]);
     }
 }
+
+/// Whether a host drops a repeat of what another had first.
+fn drops_repeats(scope: DedupScope, first: Place, again: Place) -> bool {
+    match scope {
+        DedupScope::All => true,
+        DedupScope::Zone => first.zone == again.zone,
+        DedupScope::Group => first.group == again.group,
+    }
+}
--- a/crates/lab/src/sim/client.rs
+++ b/crates/lab/src/sim/client.rs
@@ -1,7 +1,8 @@
 //! Simulated clients: those that ask as they should and hold the proxy to the rules, and rude ones. They own what
 //! they wait for. They must never forgive what the page on rules does not.
 
-use super::check::{Effect, Need};
+use super::check::Asked;
+use super::deployment::{Class, Effect, Need, Tokens};
 use super::host::{Fleet, next};
 use super::world::Us;
 use crate::wire;
@@ -27,10 +28,38 @@
     pub out: Cell<usize>,
 }
 
+/// A client that behaves: which proxies it may ask, and in which sessions.
+pub struct Client {
+    /// Its number.
+    pub number: usize,
+    /// The proxies that it asks; more than one for a client that roams.
+    pub targets: Vec<Rc<Target>>,
+    /// The first session that it shares with others, and how many there are.
+    pub sessions: (u64, u64),
+    /// Groups of hosts; a session's data are in one of them.
+    pub groups: usize,
+    /// Its mean rest between two requests, in milliseconds.
+    pub rest_ms: u64,
+}
+
+impl Client {
+    /// One of its sessions, by lot.
+    fn session(&self, fleet: &Fleet) -> u64 {
+        self.sessions.0 + fleet.world.draw(self.sessions.1)
+    }
+
+    /// One of its proxies, by lot.
+    fn target(&self, fleet: &Fleet) -> Rc<Target> {
+        self.targets[fleet.world.draw(self.targets.len() as u64) as usize].clone()
+    }
+}
+
 /// Asks one request after the other, on as few connections as the proxy allows.
-pub async fn asks(fleet: Rc<Fleet>, target: Rc<Target>, number: usize, groups: usize, rest_ms: u64) {
+pub async fn asks(fleet: Rc<Fleet>, client: Client) {
     let w = fleet.world.clone();
+    let Client { number, rest_ms, .. } = client;
     let (mut count, mut mark) = (0, 0);
+    let mut target = client.target(&fleet);
     let mut connection: Option<(Stream, Vec<u8>)> = None;
     loop {
         let rest = (-(rest_ms as f64) * 1e3 * (1.0 - w.lot()).ln()) as u64;
@@ -51,17 +80,18 @@
         }
         let (mut stream, mut came) = match connection.take() {
             Some(open) => open,
-            None => match opens(target.address).await {
-                Some(stream) => (stream, Vec::new()),
-                None => {
+            None => {
+                target = client.target(&fleet);
+                let Some(stream) = opens(target.address).await else {
                     world::after(Duration::from_millis(50 + w.draw(100))).await;
                     continue;
-                }
-            },
+                };
+                (stream, Vec::new())
+            }
         };
         count += 1;
         target.out.set(target.out.get() + 1);
-        let kept = ask(&fleet, &target, &mut stream, &mut came, (number, count), groups, &mut mark).await;
+        let kept = ask(&fleet, &target, &mut stream, &mut came, (&client, count), &mut mark).await;
         target.out.set(target.out.get() - 1);
         if kept && w.draw(20) > 0 {
             connection = Some((stream, came));
@@ -93,26 +123,28 @@
 /// One request up to its answer; whether the connection may serve another.
 async fn ask(
     fleet: &Rc<Fleet>, target: &Target, stream: &mut Stream, came: &mut Vec<u8>,
-    (number, count): (usize, u64), groups: usize, mark: &mut u64,
+    (client, count): (&Client, u64), mark: &mut u64,
 ) -> bool {
     let w = &fleet.world;
-    let mut lot = w.lot();
-    let class = fleet.classes.iter().find(|c| {
-        lot -= c.share;
-        lot < 0.0
-    });
-    let class = class.copied().unwrap_or(fleet.classes[0]);
+    let class = draw_class(fleet);
+    let number = client.number;
     let id = format!("q{number}.{count}");
-    let group = w.draw(groups as u64);
+    let session = client.session(fleet);
+    let group = session % client.groups as u64;
+    let session = format!("s{session}");
+    let is_marked = class.need == Need::Session && fleet.deployment.tokens == Tokens::Carried;
     let key = if class.effect == Effect::Safe { String::new() } else { format!(",k={id}") };
     // A mark is of the group that the write was in: clients here keep one of the latest write to any, in time.
-    let after = if class.need == Need::Mark && *mark > 0 { format!(",after={mark}") } else { String::new() };
-    let (name, d) = (class.name, class.patience_ms);
-    let verb = if class.need == Need::Write { "INSERT INTO e VALUES ('7f')" } else { "SELECT v FROM e" };
+    let after = if is_marked && *mark > 0 { format!(",after={mark}") } else { String::new() };
+    let (name, d) = (&class.name, class.deadline_ms);
+    let verb = match class.need {
+        Need::Write => format!("INSERT INTO e VALUES ('{session}')"),
+        _ => format!("SELECT v FROM e WHERE k = '{session}'"),
+    };
     let text = format!("/* id={id},c={name},d={d}{key}{after},cluster={group} */ {verb}");
     let sent = w.now();
-    let brought = if class.need == Need::Mark { fleet.mark(*mark) } else { 0 };
-    w.note(|| format!("client {number} asks {id} of {name} in group {group}"));
+    let brought = if is_marked { fleet.mark(*mark) } else { 0 };
+    w.note(|| format!("client {number} asks {id} of {name} in group {group}, session {session} "));
     fleet.book.borrow_mut().counts.asked += 1;
     if stream.write_all(&wire::message(b'Q', &[text.as_bytes(), b"\0"].concat())).await.is_err() {
         fleet.book.borrow_mut().counts.excused += 1;
@@ -120,7 +152,7 @@
     }
     let (mut value, mut error) = (None, None);
     // Some give up in the middle of it, and close.
-    let leaves = if w.draw(25) == 0 { sent + 1_000 + w.draw(class.patience_ms * 500) } else { Us::MAX };
+    let leaves = if w.draw(25) == 0 { sent + 1_000 + w.draw(class.deadline_ms * 500) } else { Us::MAX };
     loop {
         if w.now() >= leaves {
             let mut book = fleet.book.borrow_mut();
@@ -168,7 +200,8 @@
                 book.waits(now, &id, &class, sent, true);
                 match (value, error) {
                     (Some(value), None) => {
-                        book.gets(now, &id, &class, (sent, brought), &value);
+                        let (id, class, session) = (&id, &*class, &session);
+                        book.gets(now, Asked { id, class, session, sent, mark: brought }, &value);
                         if class.need == Need::Write {
                             // It was committed by now.
                             *mark = w.unix_ms();
@@ -199,6 +232,16 @@
     }
 }
 
+/// The class of the next request, by lot.
+fn draw_class(fleet: &Fleet) -> Rc<Class> {
+    let mut lot = fleet.world.lot();
+    let class = fleet.classes.iter().find(|c| {
+        lot -= c.share;
+        lot < 0.0
+    });
+    class.unwrap_or(&fleet.classes[0]).clone()
+}
+
 /// A client that does not behave, for so long; what it asks is of no rule's concern but that others are served.
 pub async fn rude(fleet: Rc<Fleet>, target: Rc<Target>, until: Us) {
     let w = fleet.world.clone();
--- a/crates/lab/src/sim/liar.rs
+++ b/crates/lab/src/sim/forged_peer.rs
@@ -1,5 +1,6 @@
-//! Somebody who speaks under a proxy's address and invents: every host is current, any is the primary, tenants ask for
-//! everything. It owns nothing. What it says is well formed, so that only the rule on a peer's word stands against it.
+//! A forged peer, which sends datagrams under a proxy's address: every host is current, any is the primary, tenants ask
+//! for everything. It owns nothing. Its datagrams are well formed, so that only the rule on a peer's word stands against
+//! them.
 
 use super::host::Fleet;
 use super::world::Us;
@@ -10,11 +11,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// It speaks this often.
-const EVERY: Duration = Duration::from_millis(20);
+/// It sends this often.
+const INTERVAL: Duration = Duration::from_millis(20);
 
-/// Lies to all proxies in the name of one, until this time.
-pub async fn lies(fleet: Rc<Fleet>, all: Vec<SocketAddr>, ordinal: usize, until: Us) {
+/// Sends false news to all proxies in the name of one, until this time.
+pub async fn run(fleet: Rc<Fleet>, all: Vec<SocketAddr>, ordinal: usize, until: Us) {
     let begun = fleet.world.unix_ms();
     let mut number = 0;
     while fleet.world.now() < until {
@@ -33,6 +34,6 @@
         let sender = Sender { ordinal: ordinal as u16, incarnation: begun, number };
         let (datagram, _) = Datagram::pack(sender, &items);
         all.iter().for_each(|to| fleet.world.forge(all[ordinal], *to, datagram.bytes()));
-        world::after(EVERY).await;
+        world::after(INTERVAL).await;
     }
 }
--- a/crates/lab/src/sim/host.rs
+++ b/crates/lab/src/sim/host.rs
@@ -2,8 +2,8 @@
 //! the state of all hosts. It must never be kinder than the real ones: a replica shows no more than it has applied,
 //! and turns writes away.
 
-use super::check::{Book, Class, Effect, Need, State};
-use super::plan::Family;
+use super::check::{Book, Origin, Place, State};
+use super::deployment::{Class, DedupScope, Deployment, Effect, LagCheck, Need, Tokens};
 use super::world::{Us, World};
 use crate::wire;
 use futures_lite::future;
@@ -19,8 +19,8 @@
 const SESSIONS: usize = 100;
 /// Work that waits longer than this for a core is turned away.
 const MOST_WAIT: Us = 600_000;
-/// For how long a host lets a read wait for what it has not applied.
-pub const CATCH_UP: Us = 100_000;
+/// A host that waits for what has not been applied looks again this often.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
 /// A message past this is none.
 const MOST_MESSAGE: usize = 1 << 20;
 
@@ -36,6 +36,34 @@
     Garbage,
 }
 
+/// What becomes of every second answer of a host.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum AnswerFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It is cut behind the end of its command, with its notes or without, and the session is silent from then on.
+    Cut,
+    /// It is lost, and the session is silent from then on.
+    Lost,
+    /// It takes so much longer on its way.
+    Delayed(Us),
+    /// It tells the host's role, and nothing more comes.
+    RoleOnly,
+}
+
+/// An answer to a request, before it is written.
+struct Answer {
+    /// The row and the end of its command, or an error.
+    body: Vec<u8>,
+    /// What it tells of its host.
+    notes: Vec<u8>,
+    /// Whether the notes say that the host is the primary.
+    role: Option<bool>,
+    /// The session of a write, and the position of its commit.
+    commit: Option<(String, Us)>,
+}
+
 /// A host, whatever process runs there.
 pub struct Host {
     /// Its name in the list.
@@ -60,6 +88,10 @@
     pub slow: u64,
     /// Some of its sessions come up so late.
     pub late: Us,
+    /// What becomes of its answers.
+    pub answers: AnswerFault,
+    /// Since when it has its role.
+    pub role_since: Us,
     applied: Us,
     busy_until: [Us; CORES],
     sessions: usize,
@@ -74,17 +106,34 @@
     /// The rules.
     pub book: RefCell<Book>,
     /// Classes of requests.
-    pub classes: Vec<Class>,
-    /// How replicas treat reads that they are too far behind for.
-    pub family: Family,
-    /// Whether answers tell no position, but for a write's commit.
-    pub blind: bool,
+    pub classes: Vec<Rc<Class>>,
+    /// What the settings say of hosts.
+    pub deployment: Deployment,
     /// Grows with each change of the list.
     pub index: Cell<u64>,
-    keys: RefCell<BTreeMap<(usize, String), (Us, String)>>,
+    /// Keys of writes, by where their repeats are dropped.
+    keys: RefCell<BTreeMap<(KeyScope, String), Kept>>,
+    /// The latest commit of each session.
+    last_commits: RefCell<BTreeMap<String, Us>>,
     serial: Cell<u64>,
 }
 
+/// Which hosts share the keys of writes.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum KeyScope {
+    All,
+    Zone(u8),
+    Group(usize),
+}
+
+/// What a key was first used for.
+#[derive(Clone)]
+struct Kept {
+    at: Us,
+    value: String,
+    position: Us,
+}
+
 /// A session's place at its host; dropping it gives it back.
 struct Session(Rc<Fleet>, usize);
 
@@ -97,41 +146,49 @@
 /// What a host knows of a request.
 struct Asked<'a> {
     id: &'a str,
-    class: Class,
+    class: Rc<Class>,
     group: usize,
+    session: &'a str,
     after: Option<u64>,
     key: Option<&'a str>,
 }
 
 impl Fleet {
     /// A fleet in this world, of hosts that are well and warm.
-    pub fn new(world: Rc<World>, book: Book, classes: Vec<Class>, family: Family, blind: bool) -> Fleet {
-        let (hosts, keys) = (RefCell::default(), RefCell::default());
+    pub fn new(world: Rc<World>, book: Book, deployment: Deployment) -> Fleet {
+        let (hosts, keys, last_commits) = Default::default();
+        let classes = deployment.classes.iter().cloned().map(Rc::new).collect();
         let (index, serial) = (Cell::new(1), Cell::new(0));
-        Fleet { world, hosts, book: RefCell::new(book), classes, family, blind, index, keys, serial }
+        let book = RefCell::new(book);
+        Fleet { world, hosts, book, classes, deployment, index, keys, last_commits, serial }
+    }
+
+    /// How far replicas are behind where nothing is wrong.
+    pub fn usual_lag(&self) -> Us {
+        self.deployment.replication_delay_ms * 1_000
     }
 
     /// One more host.
     pub fn add(&self, group: usize, zone: u8, address: SocketAddr, primary: bool) {
         let mut hosts = self.hosts.borrow_mut();
         let name = format!("s-{}", hosts.len());
-        let (lag, started, status, mode, slow) = (20_000, 0, "SERVING", Mode::Well, 1);
-        let (busy_until, sessions, applied) = ([0; CORES], 0, 0);
         hosts.push(Host {
             name,
             address,
             group,
             zone,
             primary,
-            lag,
-            started,
-            status,
-            mode,
-            slow,
+            lag: self.usual_lag(),
+            started: 0,
+            status: "SERVING",
+            mode: Mode::Well,
+            slow: 1,
             late: 0,
-            applied,
-            busy_until,
-            sessions,
+            answers: AnswerFault::None,
+            role_since: 0,
+            applied: 0,
+            busy_until: [0; CORES],
+            sessions: 0,
         });
     }
 
@@ -142,6 +199,15 @@
         self.index.set(self.index.get() + 1);
     }
 
+    /// A host becomes the primary of its group, or is it no more.
+    pub fn set_role(&self, host: usize, primary: bool) {
+        let now = self.world.now();
+        self.change(host, |h| (h.primary, h.role_since) = (primary, now));
+        if !primary {
+            self.book.borrow_mut().freshness.demotes(now, host);
+        }
+    }
+
     /// The host's process begins anew, with nothing in hand.
     pub fn begins(&self, host: usize, started: Us) {
         let h = &mut self.hosts.borrow_mut()[host];
@@ -220,61 +286,115 @@
                 return Ok(());
             }
             let text = String::from_utf8_lossy(body.strip_suffix(b"\0").unwrap_or(&body)).into_owned();
-            let answer = if text.trim() == "SHOW usage" {
-                let (x0, x1) = (self.applied(host), u8::from(self.hosts.borrow()[host].primary));
-                let x0 = (x0 as f64 / 1e3 + (self.world.unix_ms() - self.world.now() / 1_000) as f64) / 1e3;
-                row(&format!("x0={x0:.3},x1={x1},util=0.1,queue=0"), "SHOW")
-            } else {
-                match self.request(host, &text, peer, number, stream).await {
-                    Some(answer) => answer,
-                    None => return Ok(()),
-                }
-            };
-            stream.write_all(&answer).await?;
+            if text.trim() == "SHOW usage" {
+                stream.write_all(&self.usage(host)).await?;
+                continue;
+            }
+            let Some(answer) = self.request(host, &text, peer, number, stream).await else { return Ok(()) };
+            if !self.deliver(host, peer, stream, answer).await? {
+                // Silent from now on, until the other side ends it.
+                while stream.read_with(|_| ()).await? > 0 {}
+                return Ok(());
+            }
+        }
+    }
+
+    /// The answer to a probe.
+    fn usage(&self, host: usize) -> Vec<u8> {
+        let (x0, x1) = (self.applied(host), u8::from(self.hosts.borrow()[host].primary));
+        let x0 = (x0 as f64 / 1e3 + (self.world.unix_ms() - self.world.now() / 1_000) as f64) / 1e3;
+        let body = row(&format!("x0={x0:.3},x1={x1},util=0.1,queue=0"), "SHOW");
+        [body, wire::ready()].concat()
+    }
+
+    /// Writes an answer, whole unless something is wrong; false where nothing may follow it.
+    async fn deliver(
+        &self, host: usize, peer: usize, stream: &Stream, answer: Answer,
+    ) -> std::io::Result<bool> {
+        let fault = self.hosts.borrow()[host].answers;
+        let fault =
+            if fault != AnswerFault::None && self.world.draw(2) == 0 { fault } else { AnswerFault::None };
+        self.notes_written(host, peer, &answer, fault);
+        let Answer { body, notes, .. } = answer;
+        match fault {
+            AnswerFault::None => {}
+            AnswerFault::Delayed(by) => world::after(Duration::from_micros(by)).await,
+            AnswerFault::Cut => {
+                let notes = if self.world.draw(2) == 0 { notes } else { Vec::new() };
+                stream.write_all(&[body, notes].concat()).await?;
+                return Ok(false);
+            }
+            AnswerFault::Lost => return Ok(false),
+            AnswerFault::RoleOnly => {
+                stream.write_all(&self.role_note(host)).await?;
+                return Ok(false);
+            }
+        }
+        stream.write_all(&[body, notes, wire::ready()].concat()).await?;
+        Ok(true)
+    }
+
+    /// Tells the book of an answer that is written to a process now, whatever becomes of it on its way.
+    fn notes_written(&self, host: usize, peer: usize, answer: &Answer, fault: AnswerFault) {
+        let now = self.world.now();
+        let freshness = &mut self.book.borrow_mut().freshness;
+        if answer.role == Some(false) {
+            freshness.notes_replica(now, peer, host);
+        }
+        if let Some((session, position)) = answer.commit.as_ref().filter(|_| fault != AnswerFault::RoleOnly) {
+            freshness.commits(now, peer, session, *position);
+            let what =
+                || format!("host {host} tells machine {peer} of a commit of session {session} at {position}");
+            self.world.note(what);
+        }
+        if fault != AnswerFault::None {
+            self.world.note(|| format!("host {host} to machine {peer}: {fault:?}"));
         }
     }
 
     /// One request; nothing where the connection is to end without an answer.
     async fn request(
-        self: &Rc<Fleet>, host: usize, text: &str, peer: usize, number: u64, stream: &Stream,
-    ) -> Option<Vec<u8>> {
+        self: &Rc<Fleet>, host: usize, text: &str, peer: usize, connection: u64, stream: &Stream,
+    ) -> Option<Answer> {
         let w = &self.world;
         let Some(asked) = self.read(text) else {
             let what = format!("machine {peer} sent host {host} what is no request: {text:?}");
             self.book.borrow_mut().breaks("no answer nobody made", w.now(), what, &[]);
             return None;
         };
-        let (class, id) = (asked.class, asked.id);
-        w.note(|| format!("host {host} has {id} from machine {peer}"));
-        let from = (peer, number, w.sent(number));
-        let group = self.hosts.borrow()[host].group;
-        if group != asked.group {
-            let what = format!("{id} is for group {} and came to host {host} of {group}", asked.group);
+        let (class, id) = (asked.class.clone(), asked.id);
+        w.note(|| format!("host {host} has {id} from machine {peer}, session {} ", asked.session));
+        let origin = Origin { process: peer, connection, sent: w.sent(connection) };
+        let (mode, primary, started, place) = {
+            let h = &self.hosts.borrow()[host];
+            (h.mode, h.primary, h.started, Place { host, group: h.group, zone: h.zone })
+        };
+        if place.group != asked.group {
+            let what =
+                format!("{id} is for group {} and came to host {host} of {}", asked.group, place.group);
             self.book.borrow_mut().breaks("no answer nobody made", w.now(), what, &[id]);
         }
         let held = |n| w.held_open(n);
-        let index = self.book.borrow_mut().attempt(w.now(), id, &class, (host, group), from, held);
+        let index = self.book.borrow_mut().attempt(w.now(), id, &class, place, origin, held);
         let ended = |state| self.book.borrow_mut().ended(id, index, state);
         let refuse = |code: &str, why: &str| {
             ended(State::Refused);
             w.note(|| format!("host {host} turns {id} away: {why}"));
-            Some(
-                [wire::error(code, why), self.notes(host, self.applied(host), false), wire::ready()].concat(),
-            )
-        };
-        let (mode, primary, started) = {
-            let h = &self.hosts.borrow()[host];
-            (h.mode, h.primary, h.started)
+            let notes = self.notes(host, self.applied(host), false);
+            let role = Some(self.hosts.borrow()[host].primary);
+            Some(Answer { body: wire::error(code, why), notes, role, commit: None })
         };
         match mode {
             Mode::Well => {}
             Mode::Errors => {
                 ended(State::Ran);
-                return Some([wire::error("XX000", "a fast error"), wire::ready()].concat());
+                let body = wire::error("XX000", "a fast error");
+                return Some(Answer { body, notes: Vec::new(), role: None, commit: None });
             }
             Mode::Garbage => {
                 ended(State::Ran);
-                let (whole, cut) = (row("half", "SELECT 1"), w.draw(40) as usize);
+                let whole = [row("half", "SELECT 1"), wire::ready()].concat();
+                let cut = w.draw(40) as usize;
                 let bytes = if w.draw(2) == 0 { vec![0xff; 1 + cut] } else { whole[..cut].to_vec() };
                 let _ = stream.write_all(&bytes).await;
                 return None;
@@ -283,28 +403,16 @@
         if class.need == Need::Write && !primary {
             return refuse("25006", "cannot execute INSERT in a read-only transaction");
         }
-        let work = -class.work * (1.0 - w.lot()).ln();
+        let work = -class.work_us * (1.0 - w.lot()).ln();
         if started > 0 {
             self.book.borrow_mut().works(w.now(), host, started, work);
         }
-        let fresh = |fleet: &Fleet| {
-            let at = fleet.applied(host);
-            match class.need {
-                Need::Bounded(bound) => at + bound >= w.now(),
-                Need::Mark => asked.after.is_none_or(|ms| at + 1_000 >= self.mark(ms)),
-                Need::Any | Need::Write => true,
-            }
-        };
-        let begun = w.now();
-        while self.family != Family::Silent && !fresh(self) {
-            if self.family == Family::Bounce || w.now() >= begun + CATCH_UP {
-                return refuse("72000", "too far behind");
-            }
-            world::after(Duration::from_millis(5)).await;
+        if !self.catches_up(host, &asked).await {
+            return refuse("72000", "too far behind");
         }
         let Some(done) = self.takes(host, work) else { return refuse("53300", "no slot is free") };
         // What was read is as of the beginning of the work.
-        let position = self.applied(host);
+        let read_at = self.applied(host);
         if !self.lasts(stream, done.saturating_sub(w.now())).await {
             // It ran all the same: where nobody waits any more, its work is done.
             ended(State::Ran);
@@ -312,22 +420,89 @@
         }
         ended(State::Ran);
         self.serial.set(self.serial.get() + 1);
-        let mut value = format!("v{host}.{}", self.serial.get());
-        if let (Effect::Keyed(window), Some(key)) = (class.effect, asked.key) {
+        let value = format!("v{host}.{}", self.serial.get());
+        if class.need != Need::Write {
+            self.book.borrow_mut().makes(&value, id, read_at, host, origin);
+            w.note(|| format!("host {host} answers {id} with {value}, as of {read_at}"));
+            let role = Some(self.hosts.borrow()[host].primary);
+            let notes = self.notes(host, read_at, false);
+            return Some(Answer { body: row(&value, "SELECT 1"), notes, role, commit: None });
+        }
+        let Kept { value, position, .. } = self.commit(host, &asked, value);
+        let replicated = self.is_replicated(host, position, stream).await;
+        self.book.borrow_mut().makes(&value, id, position, host, origin);
+        w.note(|| format!("host {host} answers {id} with {value}"));
+        let role = Some(self.hosts.borrow()[host].primary);
+        let notes = self.notes(host, position, true);
+        let commit = Some((asked.session.to_string(), position));
+        replicated.then(|| Answer { body: row(&value, "INSERT 0 1"), notes, role, commit })
+    }
+
+    /// Whether a host's data is recent enough for a request, where it checks that; it may wait for it.
+    async fn catches_up(&self, host: usize, asked: &Asked<'_>) -> bool {
+        let (w, check) = (&self.world, self.deployment.lag_check);
+        let begun = w.now();
+        while check != LagCheck::None && !self.is_fresh(host, asked) {
+            if w.now() >= begun + check.wait_ms() * 1_000 {
+                return false;
+            }
+            world::after(LOOK_AGAIN).await;
+        }
+        true
+    }
+
+    fn is_fresh(&self, host: usize, asked: &Asked) -> bool {
+        let at = self.applied(host);
+        match asked.class.need {
+            Need::Any | Need::Write => true,
+            Need::Bounded(bound_ms) => at + bound_ms * 1_000 >= self.world.now(),
+            Need::Session if self.deployment.tokens == Tokens::Carried => {
+                asked.after.is_none_or(|ms| at + 1_000 >= self.mark(ms))
+            }
+            Need::Session => self.last_commits.borrow().get(asked.session).is_none_or(|last| at >= *last),
+        }
+    }
+
+    /// Commits a write, or finds that it is the repeat of one.
+    fn commit(&self, host: usize, asked: &Asked, value: String) -> Kept {
+        let now = self.world.now();
+        let new = Kept { at: now, value, position: self.applied(host) };
+        let mut kept = new.clone();
+        if let (Effect::Keyed(scope, window_ms), Some(key)) = (asked.class.effect, asked.key) {
+            let scope = match scope {
+                DedupScope::All => KeyScope::All,
+                DedupScope::Zone => KeyScope::Zone(self.hosts.borrow()[host].zone),
+                DedupScope::Group => KeyScope::Group(asked.group),
+            };
             let mut keys = self.keys.borrow_mut();
-            let kept = keys.entry((group, key.to_string())).or_insert((w.now(), value.clone()));
-            if w.now().saturating_sub(kept.0) > window {
-                *kept = (w.now(), value.clone());
+            let first = keys.entry((scope, key.to_string())).or_insert_with(|| new.clone());
+            if now.saturating_sub(first.at) > window_ms * 1_000 {
+                *first = new;
             }
-            value = kept.1.clone();
+            kept = first.clone();
         }
-        self.book.borrow_mut().makes(&value, id, position);
-        w.note(|| format!("host {host} answers {id} with {value}"));
-        Some(row_with(
-            &value,
-            if class.need == Need::Write { "INSERT 0 1" } else { "SELECT 1" },
-            &self.notes(host, position, class.need == Need::Write),
-        ))
+        let mut last_commits = self.last_commits.borrow_mut();
+        let last = last_commits.entry(asked.session.to_string()).or_default();
+        *last = kept.position.max(*last);
+        kept
+    }
+
+    /// Waits until another member of the group has a commit, where writes wait for that; false if whoever asked has
+    /// left meanwhile.
+    async fn is_replicated(&self, host: usize, position: Us, stream: &Stream) -> bool {
+        if !self.deployment.synchronous_commit {
+            return true;
+        }
+        let others: Vec<usize> = {
+            let hosts = self.hosts.borrow();
+            (0..hosts.len()).filter(|n| *n != host && hosts[*n].group == hosts[host].group).collect()
+        };
+        while !others.is_empty() && !others.iter().any(|n| self.applied(*n) >= position) {
+            if !self.lasts(stream, LOOK_AGAIN.as_micros() as Us).await {
+                return false;
+            }
+        }
+        true
     }
 
     /// Waits as long as the work takes; false if whoever asked has left meanwhile.
@@ -352,17 +527,23 @@
 
     /// What an answer tells of its host: its role, and the position of what was read, or of a write's commit.
     fn notes(&self, host: usize, position: Us, commit: bool) -> Vec<u8> {
-        let role = if self.hosts.borrow()[host].primary { "writer" } else { "reader" };
-        if self.blind && !commit {
-            return wire::status("server_role", role);
+        let role = self.role_note(host);
+        if !self.deployment.answer_positions && !commit {
+            return role;
         }
         let begin = self.world.unix_ms() - self.world.now() / 1_000;
         let position = begin + position / 1_000;
-        [wire::status("server_role", role), wire::status("commit_clock", &position.to_string())].concat()
+        [role, wire::status("commit_clock", &position.to_string())].concat()
+    }
+
+    fn role_note(&self, host: usize) -> Vec<u8> {
+        let primary = self.hosts.borrow()[host].primary;
+        wire::status("server_role", if primary { "writer" } else { "reader" })
     }
 
     fn read<'a>(&self, text: &'a str) -> Option<Asked<'a>> {
-        let (comment, _) = text.strip_prefix("/*")?.split_once("*/")?;
+        let (comment, statement) = text.strip_prefix("/*")?.split_once("*/")?;
+        let session = statement.split('\'').nth(1)?;
         let get = |name: &str| {
             comment
                 .split(',')
@@ -370,9 +551,9 @@
                 .find(|p| p.0.trim() == name)
                 .map(|p| p.1.trim())
         };
-        let class = *self.classes.iter().find(|c| Some(c.name) == get("c"))?;
+        let class = self.classes.iter().find(|c| Some(c.name.as_str()) == get("c"))?.clone();
         let (after, key) = (get("after").and_then(|a| a.parse().ok()), get("k"));
-        Some(Asked { id: get("id")?, class, group: get("cluster")?.parse().ok()?, after, key })
+        Some(Asked { id: get("id")?, class, group: get("cluster")?.parse().ok()?, session, after, key })
     }
 }
 
@@ -395,11 +576,7 @@
     }
 }
 
+/// One row of one value, and the end of its command.
 fn row(value: &str, tag: &str) -> Vec<u8> {
-    row_with(value, tag, &[])
-}
-
-fn row_with(value: &str, tag: &str, notes: &[u8]) -> Vec<u8> {
-    let parts = [wire::description(&["v"]), wire::row(&[Some(value)]), wire::complete(tag), notes.to_vec()];
-    [parts.concat(), wire::ready()].concat()
+    [wire::description(&["v"]), wire::row(&[Some(value)]), wire::complete(tag)].concat()
 }
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -5,18 +5,21 @@
 pub mod agent;
 pub mod check;
 pub mod client;
+pub mod deployment;
+pub mod forged_peer;
+pub mod freshness;
 pub mod host;
-pub mod liar;
 pub mod plan;
 pub mod world;
 
 use agent::Agent;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
-use check::{Book, Broken, Class, Counts, Effect, Figures, Need};
-use client::Target;
-use host::{Fleet, Mode};
-use plan::{Family, Fault, Plan, What};
+use check::{Book, Broken, Counts, Figures};
+use client::{Client, Target};
+use deployment::Deployment;
+use host::{AnswerFault, Fleet, Mode};
+use plan::{Fault, Plan, What};
 use sillfold::config::Config;
 use sillfold::net::core::Core;
 use sillfold::net::proxy::Proxy;
@@ -26,7 +29,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Wake, Waker};
 use world::{Machine, Us, World};
 
 /// Descriptors of a proxy, as its settings have it, and of other machines.
@@ -37,72 +44,28 @@
 /// After the last request, how long answers may take; then how long a stop may take.
 const REST: Us = 7_000_000;
 const STOP: Us = 4_500_000;
-/// A bounded read's data may be so old.
-const BOUND: Us = 800_000;
-/// For how long a write's key is kept.
-const WINDOW: Us = 800_000;
-/// For how long a host is cold.
-const COLD: Us = 8_000_000;
+/// Clients of a proxy that share each of its sessions, and one client in so many that roams over all proxies.
+const CLIENTS_OF_A_SESSION: usize = 3;
+const ROAMS_ONE_IN: usize = 6;
 /// A process that starts is ready by then, where discovery can be reached.
 const READY: Us = 10_000_000;
 
-/// The figures of all days.
-const FIGURES: Figures = Figures {
-    grace: 500_000,
-    start_capacity: 0.2,
-    cold: COLD,
-    tip_multiple: 3.0,
-    overload_for: 1_000_000,
-    most_tries: 10,
-    gone: 100_000,
-    way: 20_000,
-    cores: host::CORES as f64,
-};
-
-const CLASSES: [Class; 6] = [
-    // Its clients wait for longer than a stop may take.
-    Class {
-        name: "report",
-        need: Need::Any,
-        effect: Effect::Safe,
-        patience_ms: 6_000,
-        work: 20e3,
-        share: 0.02,
-    },
-    Class {
-        name: "browse",
-        need: Need::Bounded(BOUND),
-        effect: Effect::Safe,
-        patience_ms: 800,
-        work: 6e3,
-        share: 0.45,
-    },
-    Class {
-        name: "history",
-        need: Need::Any,
-        effect: Effect::Safe,
-        patience_ms: 900,
-        work: 12e3,
-        share: 0.23,
-    },
-    Class { name: "own", need: Need::Mark, effect: Effect::Safe, patience_ms: 1_000, work: 6e3, share: 0.1 },
-    Class {
-        name: "post",
-        need: Need::Write,
-        effect: Effect::Once,
-        patience_ms: 1_500,
-        work: 9e3,
-        share: 0.1,
-    },
-    Class {
-        name: "ingest",
-        need: Need::Write,
-        effect: Effect::Keyed(WINDOW),
-        patience_ms: 2_900,
-        work: 9e3,
-        share: 0.1,
-    },
-];
+/// The figures of the rules on a day of this deployment.
+fn figures(deployment: &Deployment) -> Figures {
+    Figures {
+        grace: deployment::DRAIN_GRACE_US,
+        start_capacity: deployment::START_CAPACITY,
+        cold: deployment::COLD_US,
+        tip_multiple: deployment::TIP_MULTIPLE,
+        overload_for: deployment::OVERLOAD_FOR_US,
+        max_attempts: deployment.max_attempts,
+        tokens: deployment.tokens,
+        answer_positions: deployment.answer_positions,
+        gone: 100_000,
+        way: 20_000,
+        cores: host::CORES as f64,
+    }
+}
 
 /// What came of a day.
 #[derive(Clone, Debug, PartialEq)]
@@ -128,6 +91,38 @@
     frozen: bool,
     /// To be killed after so many more steps.
     dying: Option<u64>,
+    /// Waits for a task that can run, while there is none.
+    idle: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    is_awake: Arc<Awake>,
+}
+
+/// Whether a process may have a task that can run.
+struct Awake(AtomicBool);
+
+impl Wake for Awake {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Process {
+    /// Whether a task of it may run: guards against asking every process after every step of the world.
+    fn is_awake(&self) -> bool {
+        self.is_awake.0.load(Ordering::Relaxed) && self.executor.is_some() && !self.frozen
+    }
+
+    /// No task of it can run: it is asked again once one can.
+    fn sleeps(&mut self) {
+        let Some(executor) = self.executor.clone() else { return };
+        self.is_awake.0.store(false, Ordering::Relaxed);
+        let mut idle: Pin<Box<dyn Future<Output = ()>>> = Box::pin(async move { executor.tick().await });
+        let waker = Waker::from(self.is_awake.clone());
+        if idle.as_mut().poll(&mut Context::from_waker(&waker)).is_ready() {
+            self.is_awake.0.store(true, Ordering::Relaxed);
+            return;
+        }
+        self.idle = Some(idle);
+    }
 }
 
 /// A proxy's process, as the day knows it.
@@ -176,8 +171,9 @@
 /// Runs a day.
 pub fn run(plan: &Plan, whole_trace: bool) -> Outcome {
     let world = World::new(plan.seed, plan.choppy, whole_trace);
-    let book = Book::new(FIGURES);
-    let fleet = Rc::new(Fleet::new(world.clone(), book, CLASSES.to_vec(), plan.family, plan.blind));
+    let deployment = plan.deployment();
+    let book = Book::new(figures(&deployment));
+    let fleet = Rc::new(Fleet::new(world.clone(), book, deployment));
     let machine = world.machine(MANY);
     let agent = Rc::new(Agent::new(fleet.clone(), machine));
     let mut day = Day {
@@ -235,6 +231,8 @@
             executor: Some(executor.clone()),
             frozen: false,
             dying: None,
+            idle: None,
+            is_awake: Arc::new(Awake(AtomicBool::new(true))),
         });
         (self.processes.len() - 1, executor)
     }
@@ -255,7 +253,8 @@
         let (groups, members) = (self.plan.groups, self.plan.members);
         for n in 0..groups * members {
             let at = address(2, n, 5432);
-            self.fleet.add(n / members, (n % 2) as u8, at, n % members == 0);
+            let zone = self.fleet.deployment.zone_of(n);
+            self.fleet.add(n / members, zone, at, n % members == 0);
         }
         let agent = self.agent.clone();
         let (machine, at) = self.agent_at;
@@ -276,18 +275,28 @@
             self.beside.push(Vec::new());
             self.out.push(BTreeSet::new());
             self.proxy(p);
+        }
+        for p in 0..self.plan.proxies {
             let machine = self.world.machine(MANY);
             self.askers.insert(machine);
             let (_, executor) = self.process(machine);
             for _ in 0..self.plan.clients {
-                self.clients += 1;
-                let (fleet, target) = (self.fleet.clone(), self.targets[p].clone());
-                let (number, rest) = (self.clients, self.plan.rest_ms);
-                executor.spawn(client::asks(fleet, target, number, groups, rest)).detach();
+                let client = self.client(p);
+                executor.spawn(client::asks(self.fleet.clone(), client)).detach();
             }
         }
     }
 
+    /// One more client of a proxy; some roam over all of them.
+    fn client(&mut self, p: usize) -> Client {
+        self.clients += 1;
+        let (number, rest_ms, groups) = (self.clients, self.plan.rest_ms, self.plan.groups);
+        let shared = self.plan.clients.div_ceil(CLIENTS_OF_A_SESSION) as u64;
+        let roams = number.is_multiple_of(ROAMS_ONE_IN);
+        let targets = if roams { self.targets.clone() } else { vec![self.targets[p].clone()] };
+        Client { number, targets, sessions: (p as u64 * shared, shared), groups, rest_ms }
+    }
+
     /// Starts a host's process on its machine.
     fn host(&mut self, n: usize, machine: Machine) -> usize {
         let at = self.fleet.hosts.borrow()[n].address;
@@ -299,7 +308,7 @@
     fn proxy(&mut self, p: usize) {
         let machine = self.world.machine_at(SOCKETS, p);
         let (process, executor) = self.process(machine);
-        let settings = settings(&self.plan, p);
+        let settings = self.fleet.deployment.settings(p, self.plan.proxies, self.plan.talk);
         let mut text = serde_json::json!({
             "name": format!("p{p}"), "listen": self.targets[p].address.to_string(),
             "discovery": self.agent_at.1.to_string(),
@@ -392,8 +401,9 @@
         }
         let now = self.world.now();
         for run in self.proxies.iter().flatten() {
+            let Some(since) = run.waits.get() else { continue };
             let ready = seam::with(self.world.seen_by(run.machine), || run.core.is_ready());
-            let since = run.waits.get().filter(|_| !ready);
+            let since = Some(since).filter(|_| !ready);
             // While nobody could tell it, it cannot know.
             let cut = self.world.is_cut(self.agent_at.0, run.machine);
             run.waits.set(since.map(|since| if cut { now } else { since }));
@@ -412,17 +422,24 @@
         loop {
             let before = self.steps;
             for i in 0..self.processes.len() {
-                let p = &self.processes[i];
-                let Some(executor) = p.executor.clone().filter(|_| !p.frozen) else { continue };
+                let p = &mut self.processes[i];
+                if !p.is_awake() {
+                    continue;
+                }
+                p.idle = None;
+                let Some(executor) = p.executor.clone() else { continue };
                 let (seat, dying) = (self.world.seen_by(p.machine), p.dying);
-                let most = dying.unwrap_or(u64::MAX);
+                let most = dying.unwrap_or(u64::MAX).min(1_000);
                 let ticks = seam::with(seat, || {
                     let mut ticks = 0;
-                    while ticks < most.min(1_000) && executor.try_tick() {
+                    while ticks < most && executor.try_tick() {
                         ticks += 1;
                     }
                     ticks
                 });
+                if ticks < most {
+                    p.sleeps();
+                }
                 drop(executor);
                 self.steps += ticks;
                 if let Some(left) = dying {
@@ -449,7 +466,7 @@
     /// Ends a process where it stands; its machine closes what it had open.
     fn kill(&mut self, process: usize) {
         let p = &mut self.processes[process];
-        p.dying = None;
+        (p.dying, p.idle) = (None, None);
         let (executor, machine) = (p.executor.take(), p.machine);
         let killed: Vec<usize> = (0..self.proxies.len())
             .filter(|n| self.proxies[*n].as_ref().is_some_and(|r| r.process == process))
@@ -496,17 +513,17 @@
                 let first = group % self.plan.groups * members;
                 let present = (first..first + members).find(|n| self.fleet.hosts.borrow()[*n].primary);
                 match (begins, present) {
-                    (true, Some(old)) => self.fleet.change(old, |h| h.primary = false),
+                    (true, Some(old)) => self.fleet.set_role(old, false),
                     (false, None) => {
                         // Never one that is behind what was committed: it has caught up.
                         let n = first + self.world.draw(members as u64) as usize;
-                        self.fleet.change(n, |h| h.primary = true);
+                        self.fleet.set_role(n, true);
                     }
                     _ => {}
                 }
             }
             What::Lag(n, ms) => {
-                let lag = if begins { ms * 1_000 } else { 20_000 };
+                let lag = if begins { ms * 1_000 } else { self.fleet.usual_lag() };
                 self.fleet.lags(host(n), lag);
             }
             What::Errors(n) | What::Garbage(n) => {
@@ -579,11 +596,17 @@
                     self.end(old);
                 }
             }
-            What::WatchesHushed if begins => self.agent.hush(),
-            What::WatchesHushed => {}
+            What::WatchesSilent if begins => self.agent.silence(),
+            What::WatchesSilent => {}
             What::LateSessions(n, ms) => {
                 self.fleet.hosts.borrow_mut()[host(n)].late = if begins { ms * 1_000 } else { 0 };
             }
+            What::CutAnswers(n) => self.fault_answers(host(n), begins, AnswerFault::Cut),
+            What::LostAnswers(n) => self.fault_answers(host(n), begins, AnswerFault::Lost),
+            What::DelayedAnswers(n, ms) => {
+                self.fault_answers(host(n), begins, AnswerFault::Delayed(ms * 1_000));
+            }
+            What::RoleOnlyAnswers(n) => self.fault_answers(host(n), begins, AnswerFault::RoleOnly),
             What::ByHand(p, n) => self.by_hand(p % proxies, host(n), begins),
             What::DiskFull(p) => self.world.fill(p % proxies, begins),
             What::TornFile(p) if begins => {
@@ -603,17 +626,22 @@
                 }
             }
             What::Rude(..) => {}
-            What::Liar(p) if begins && self.plan.talk => {
+            What::ForgedPeer(p) if begins && self.plan.talk => {
                 let machine = self.world.machine(MANY);
                 let (_, executor) = self.process(machine);
                 let until = (fault.at_ms + fault.for_ms) * 1_000;
                 let all = (0..proxies).map(|q| address(4, q, 7946)).collect();
-                executor.spawn(liar::lies(self.fleet.clone(), all, p % proxies, until)).detach();
+                executor.spawn(forged_peer::run(self.fleet.clone(), all, p % proxies, until)).detach();
             }
-            What::Liar(_) => {}
+            What::ForgedPeer(_) => {}
         }
     }
 
+    /// Something becomes of a host's answers, or nothing any more.
+    fn fault_answers(&self, host: usize, begins: bool, fault: AnswerFault) {
+        self.fleet.hosts.borrow_mut()[host].answers = if begins { fault } else { AnswerFault::None };
+    }
+
     /// Operators leave a host out at a proxy, or take it back; both versions of it are bound.
     fn by_hand(&mut self, p: usize, host: usize, out: bool) {
         let Some(run) = &self.proxies[p] else { return };
@@ -742,52 +770,3 @@
         }
     }
 }
-
-/// The settings object of a day's proxies.
-fn settings(plan: &Plan, ordinal: usize) -> serde_json::Value {
-    let classes: Vec<serde_json::Value> = CLASSES
-        .iter()
-        .map(|c| {
-            let mut class = serde_json::json!({
-                "name": c.name, "deadlineUs": c.patience_ms * 1_000, "sloUs": c.patience_ms * 400,
-                "worth": 3.0, "lateWorth": 0.3,
-                "effect": match c.effect { Effect::Safe => "retryable", Effect::Once => "fragile", Effect::Keyed(_) => "dedup" },
-            });
-            if let Effect::Keyed(window) = c.effect {
-                class["dedupScope"] = "cell".into();
-                class["dedupWindowUs"] = window.into();
-            }
-            class
-        })
-        .collect();
-    let read = |c: &Class| match c.need {
-        Need::Any => "eventual",
-        Need::Bounded(_) => "lag_bound",
-        Need::Mark => "causal",
-        Need::Write => "mutate",
-    };
-    let behind = match plan.family {
-        Family::Silent => "silent",
-        Family::Bounce => "bounce",
-        Family::Await => "await",
-    };
-    serde_json::json!({
-        "balancers": plan.proxies, "ordinal": ordinal, "zone": ordinal % 2, "membershipMode": "pushed",
-        "azs": ["a", "b"], "hostTypes": ["m"], "loadInfo": {"fields": ["x0", "x1", "util", "queue"]},
-        "classes": classes,
-        "familyInfo": {
-            "behind": behind, "catchUpWaitUs": host::CATCH_UP, "classRead": CLASSES.iter().map(read).collect::<Vec<_>>(),
-            "positions": !plan.blind, "roleInList": "trailing",
-            "stalenessBoundUs": CLASSES.map(|c| if let Need::Bounded(b) = c.need { b } else { 0 }),
-            "writeMarks": "brought", "zeroUs": 0,
-        },
-        "ceilings": {
-            "mostTries": FIGURES.most_tries, "dialTimeoutUs": 250_000, "cancel": true, "mayProbe": true,
-            "retryAfter": true, "maxRetryAfterUs": 1_000_000, "peerMessages": plan.talk,
-        },
-        "safety": {
-            "drainGraceUs": FIGURES.grace, "startCapacity": FIGURES.start_capacity, "coldUs": COLD,
-            "tipMultiple": FIGURES.tip_multiple, "overloadForUs": FIGURES.overload_for, "askWithinUs": 10_000_000,
-        },
-    })
-}
--- a/crates/lab/src/sim/plan.rs
+++ b/crates/lab/src/sim/plan.rs
@@ -1,10 +1,14 @@
 //! A day as a plan: how large, which family of rules, and what fails when. It owns the drawing of a plan from a
 //! seed, its form as a JSON5 file, and how a failing one is made smaller. It must never run anything.
 
+use super::deployment::{Deployment, MAX_PROXIES};
 use garde::Validate;
 use oorandom::Rand64;
 use serde::{Deserialize, Serialize};
 
+/// One drawn day in so many has a tier of many proxies.
+const MANY_PROXIES_ONE_IN: u64 = 150;
+
 /// A whole day.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
@@ -12,11 +16,11 @@
     /// Of everything that is drawn while the day runs.
     #[garde(skip)]
     pub seed: u64,
-    /// How replicas treat reads that they are too far behind for.
+    /// How replicas treat reads that they are too far behind for, in a plan without a deployment.
     #[garde(skip)]
     pub family: Family,
     /// Proxies, groups of hosts and hosts of a group.
-    #[garde(range(min = 1, max = 32))]
+    #[garde(range(min = 1, max = MAX_PROXIES))]
     pub proxies: usize,
     /// See there.
     #[garde(range(min = 1, max = 16))]
@@ -40,10 +44,14 @@
     #[garde(skip)]
     #[serde(default)]
     pub talk: bool,
-    /// Whether positions show in probes only, not in answers.
+    /// Whether positions show in probes only, not in answers, in a plan without a deployment.
     #[garde(skip)]
     #[serde(default)]
     pub blind: bool,
+    /// What the settings say; where it is absent, six classes, and sessions that carry their marks.
+    #[garde(dive)]
+    #[serde(default)]
+    pub deployment: Option<Deployment>,
     /// What fails.
     #[garde(skip)]
     pub faults: Vec<Fault>,
@@ -119,11 +127,21 @@
     /// Clients of a proxy that write half of something, or nonsense, or read nothing.
     Rude(usize, u64),
     /// All open watches of discovery fall silent, and stay open.
-    WatchesHushed,
+    #[serde(alias = "watches_hushed")]
+    WatchesSilent,
     /// Half of a host's sessions come up so late, in milliseconds.
     LateSessions(usize, u64),
-    /// Somebody speaks to all proxies in the name of one, and invents.
-    Liar(usize),
+    /// Somebody sends false news to all proxies in the name of one.
+    #[serde(alias = "liar")]
+    ForgedPeer(usize),
+    /// Half of a host's answers are cut behind the end of their command, and their sessions stay open and silent.
+    CutAnswers(usize),
+    /// Half of a host's answers are lost on their way, and their sessions stay open and silent.
+    LostAnswers(usize),
+    /// Half of a host's answers take so much longer on their way, in milliseconds.
+    DelayedAnswers(usize, u64),
+    /// Half of a host's answers tell its role and then nothing more; their sessions stay open.
+    RoleOnlyAnswers(usize),
 }
 
 impl Plan {
@@ -186,12 +204,12 @@
         let blind = talk && family != Family::Silent;
         if talk && to(2) == 0 {
             let (proxy, at_ms, for_ms) = (to(proxies as u64) as usize, 1_000 + to(20_000), 500 + to(8_000));
-            faults.push(Fault { at_ms, for_ms, what: What::Liar(proxy) });
+            faults.push(Fault { at_ms, for_ms, what: What::ForgedPeer(proxy) });
         }
         // Silent watches, and news behind them; connections that come up late.
         if to(3) == 0 {
             let (host, at_ms) = (to(hosts) as usize, 1_000 + to(18_000));
-            faults.push(Fault { at_ms, for_ms: 0, what: What::WatchesHushed });
+            faults.push(Fault { at_ms, for_ms: 0, what: What::WatchesSilent });
             let at_ms = at_ms + to(3_000);
             faults.push(Fault { at_ms, for_ms: 4_000 + to(8_000), what: What::Drain(host) });
         }
@@ -199,9 +217,46 @@
             let (host, at_ms, for_ms) = (to(hosts) as usize, 1_000 + to(20_000), 500 + to(5_000));
             faults.push(Fault { at_ms, for_ms, what: What::LateSessions(host, 20 + to(1_500)) });
         }
+        // Answers that are cut, lost or late, mostly those of a group's first primary: writes have them too.
+        for _ in 0..to(4) {
+            let host = to(hosts) as usize;
+            let host = if to(2) == 0 { host / members * members } else { host };
+            let what = match to(4) {
+                0 => What::CutAnswers(host),
+                1 => What::LostAnswers(host),
+                2 => What::DelayedAnswers(host, 50 + to(1_000)),
+                _ => What::RoleOnlyAnswers(host),
+            };
+            faults.push(Fault { at_ms: 1_000 + to(22_000), for_ms: 500 + to(5_000), what });
+        }
         faults.sort_by_key(|f| f.at_ms);
-        let (for_ms, seed) = (27_000, seed);
-        Plan { seed, family, proxies, groups, members, clients, rest_ms, for_ms, choppy, talk, blind, faults }
+        let (mut for_ms, mut proxies, mut clients, mut rest_ms) = (27_000, proxies, clients, rest_ms);
+        // A tier of many proxies, each of which has little to do.
+        if to(MANY_PROXIES_ONE_IN) == 0 {
+            proxies = 20 + to(MAX_PROXIES as u64 - 19) as usize;
+            (clients, rest_ms, for_ms) = (1, 1_000 + 40 * proxies as u64, 12_000);
+        }
+        let deployment = Some(Deployment::of(seed, proxies));
+        Plan {
+            seed,
+            family,
+            proxies,
+            groups,
+            members,
+            clients,
+            rest_ms,
+            for_ms,
+            choppy,
+            talk,
+            blind,
+            deployment,
+            faults,
+        }
+    }
+
+    /// What the settings of its day say.
+    pub fn deployment(&self) -> Deployment {
+        self.deployment.clone().unwrap_or_else(|| Deployment::standard(self.family, self.blind))
     }
 
     /// Reads a plan from a JSON5 file.
--- a/crates/lab/tests/mutants.rs
+++ b/crates/lab/tests/mutants.rs
@@ -10,7 +10,21 @@
 fn day(seed: u64, family: Family, faults: Vec<Fault>) -> Plan {
     let (proxies, groups, members, clients, rest_ms) = (2, 1, 3, 10, 60);
     let (for_ms, choppy, talk, blind) = (8_000, false, false, false);
-    Plan { seed, family, proxies, groups, members, clients, rest_ms, for_ms, choppy, talk, blind, faults }
+    Plan {
+        seed,
+        family,
+        proxies,
+        groups,
+        members,
+        clients,
+        rest_ms,
+        for_ms,
+        choppy,
+        talk,
+        blind,
+        deployment: None,
+        faults,
+    }
 }
 
 fn fault(at_ms: u64, for_ms: u64, what: What) -> Fault {
@@ -114,7 +128,7 @@
     let faults = vec![
         fault(1_000, 6_000, What::Lag(1, 3_000)),
         fault(1_000, 6_000, What::Lag(2, 3_000)),
-        fault(1_500, 5_000, What::Liar(1)),
+        fault(1_500, 5_000, What::ForgedPeer(1)),
     ];
     let plan = Plan { talk: true, blind: true, ..day(16, Family::Silent, faults) };
     caught("peers are believed", "no stale read", &plan);
@@ -142,7 +156,7 @@
 /// All watches fall silent, and a host drains behind them.
 #[test]
 fn a_watch_that_is_silent_and_kept() {
-    let faults = vec![fault(1_000, 0, What::WatchesHushed), fault(1_500, 12_000, What::Drain(1))];
+    let faults = vec![fault(1_000, 0, What::WatchesSilent), fault(1_500, 12_000, What::Drain(1))];
     let plan = Plan { for_ms: 14_000, ..day(17, Family::Await, faults) };
     caught("silent watches are kept", "nothing new to a draining host", &plan);
 }
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -46,6 +46,7 @@
             choppy: true,
             talk: false,
             blind: false,
+            deployment: None,
             faults,
         };
         let outcome = run(&plan, false);
