--- a/crates/lab/src/sim/check.rs
+++ b/crates/lab/src/sim/check.rs
@@ -109,6 +109,8 @@
     pub cores: f64,
 }
 
+/// A complete answer to a write is its client's within this time.
+const PASSED_ON_IN: Us = 250_000;
 /// So many attempts that begin for clients which left are no chance any more.
 const GONE_CASES: u32 = 3;
 
@@ -117,6 +119,8 @@
     figures: Figures,
     attempts: BTreeMap<String, Vec<Attempt>>,
     made: BTreeMap<String, Made>,
+    /// When the first complete answer to a write was written to a process that could hear it.
+    complete: BTreeMap<String, Us>,
     /// Since when each proxy knows that a host drains or is gone.
     told: BTreeMap<(Machine, usize), Us>,
     /// Since when each knows that operators leave a host out.
@@ -155,6 +159,7 @@
             figures,
             attempts: BTreeMap::new(),
             made: BTreeMap::new(),
+            complete: BTreeMap::new(),
             told: BTreeMap::new(),
             by_hand: BTreeMap::new(),
             cold_work: BTreeMap::new(),
@@ -319,6 +324,21 @@
         }
     }
 
+    /// A complete answer to a write, up to the end of its command, is written to a process that can hear it.
+    pub fn completes(&mut self, now: Us, id: &str) {
+        self.complete.entry(id.to_string()).or_insert(now);
+    }
+
+    /// A client got an error; `was_cut` tells whether a link failed between two moments.
+    pub fn fails(&mut self, now: Us, id: &str, was_cut: impl Fn(Us, Us) -> bool) {
+        self.counts.errors += 1;
+        let Some(written) = self.complete.get(id).copied() else { return };
+        if now > written + PASSED_ON_IN && !was_cut(written, written + self.figures.way) {
+            let what = format!("{id} failed, a complete answer was written {} us before", now - written);
+            self.breaks("no complete answer is withheld", now, what, &[id]);
+        }
+    }
+
     /// How much older than they may be the data of a read are.
     fn behind(&self, asked: Asked, made: &Made) -> Us {
         let Origin { process, sent, .. } = made.origin;
--- a/crates/lab/src/sim/client.rs
+++ b/crates/lab/src/sim/client.rs
@@ -208,7 +208,7 @@
                         }
                     }
                     (None, Some(code)) => {
-                        book.counts.errors += 1;
+                        book.fails(now, &id, |since, by| w.was_cut(since, by));
                         drop(book);
                         w.note(|| format!("client {number} has {code} for {id}"));
                     }
--- a/crates/lab/src/sim/host.rs
+++ b/crates/lab/src/sim/host.rs
@@ -36,7 +36,7 @@
     Garbage,
 }
 
-/// What becomes of every second answer of a host.
+/// What becomes of answers of a host.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum AnswerFault {
     /// Nothing.
@@ -60,8 +60,15 @@
     notes: Vec<u8>,
     /// Whether the notes say that the host is the primary.
     role: Option<bool>,
-    /// The session of a write, and the position of its commit.
-    commit: Option<(String, Us)>,
+    /// What a write has committed.
+    commit: Option<Commit>,
+}
+
+/// What a write has committed.
+struct Commit {
+    id: String,
+    session: String,
+    position: Us,
 }
 
 /// A host, whatever process runs there.
@@ -88,8 +95,8 @@
     pub slow: u64,
     /// Some of its sessions come up so late.
     pub late: Us,
-    /// What becomes of its answers.
-    pub answers: AnswerFault,
+    /// What becomes of so many percent of its answers.
+    pub answers: (AnswerFault, u64),
     /// Since when it has its role.
     pub role_since: Us,
     applied: Us,
@@ -184,7 +191,7 @@
             mode: Mode::Well,
             slow: 1,
             late: 0,
-            answers: AnswerFault::None,
+            answers: Default::default(),
             role_since: 0,
             applied: 0,
             busy_until: [0; CORES],
@@ -291,7 +298,7 @@
                 continue;
             }
             let Some(answer) = self.request(host, &text, peer, number, stream).await else { return Ok(()) };
-            if !self.deliver(host, peer, stream, answer).await? {
+            if !self.deliver(host, (peer, number), stream, answer).await? {
                 // Silent from now on, until the other side ends it.
                 while stream.read_with(|_| ()).await? > 0 {}
                 return Ok(());
@@ -309,13 +316,18 @@
 
     /// Writes an answer, whole unless something is wrong; false where nothing may follow it.
     async fn deliver(
-        &self, host: usize, peer: usize, stream: &Stream, answer: Answer,
+        &self, host: usize, (peer, connection): (usize, u64), stream: &Stream, answer: Answer,
     ) -> std::io::Result<bool> {
-        let fault = self.hosts.borrow()[host].answers;
-        let fault =
-            if fault != AnswerFault::None && self.world.draw(2) == 0 { fault } else { AnswerFault::None };
+        let (fault, percent) = self.hosts.borrow()[host].answers;
+        let fault = if percent > 0 && self.world.draw(100) < percent { fault } else { AnswerFault::None };
         self.notes_written(host, peer, &answer, fault);
-        let Answer { body, notes, .. } = answer;
+        let Answer { body, notes, commit, .. } = answer;
+        if let Some(commit) = commit
+            && matches!(fault, AnswerFault::None | AnswerFault::Cut)
+            && self.world.is_heard(connection)
+        {
+            self.book.borrow_mut().completes(self.world.now(), &commit.id);
+        }
         match fault {
             AnswerFault::None => {}
             AnswerFault::Delayed(by) => world::after(Duration::from_micros(by)).await,
@@ -341,7 +353,8 @@
         if answer.role == Some(false) {
             freshness.notes_replica(now, peer, host);
         }
-        if let Some((session, position)) = answer.commit.as_ref().filter(|_| fault != AnswerFault::RoleOnly) {
+        if let Some(commit) = answer.commit.as_ref().filter(|_| fault != AnswerFault::RoleOnly) {
+            let Commit { session, position, .. } = commit;
             freshness.commits(now, peer, session, *position);
             let what =
                 || format!("host {host} tells machine {peer} of a commit of session {session} at {position}");
@@ -434,7 +447,7 @@
         w.note(|| format!("host {host} answers {id} with {value}"));
         let role = Some(self.hosts.borrow()[host].primary);
         let notes = self.notes(host, position, true);
-        let commit = Some((asked.session.to_string(), position));
+        let commit = Some(Commit { id: id.to_string(), session: asked.session.to_string(), position });
         replicated.then(|| Answer { body: row(&value, "INSERT 0 1"), notes, role, commit })
     }
 
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -601,12 +601,18 @@
             What::LateSessions(n, ms) => {
                 self.fleet.hosts.borrow_mut()[host(n)].late = if begins { ms * 1_000 } else { 0 };
             }
-            What::CutAnswers(n) => self.fault_answers(host(n), begins, AnswerFault::Cut),
-            What::LostAnswers(n) => self.fault_answers(host(n), begins, AnswerFault::Lost),
-            What::DelayedAnswers(n, ms) => {
-                self.fault_answers(host(n), begins, AnswerFault::Delayed(ms * 1_000));
+            What::CutAnswers(n, percent) => {
+                self.fault_answers(host(n), begins, (AnswerFault::Cut, percent));
+            }
+            What::LostAnswers(n, percent) => {
+                self.fault_answers(host(n), begins, (AnswerFault::Lost, percent));
+            }
+            What::DelayedAnswers(n, percent, ms) => {
+                self.fault_answers(host(n), begins, (AnswerFault::Delayed(ms * 1_000), percent));
+            }
+            What::RoleOnlyAnswers(n, percent) => {
+                self.fault_answers(host(n), begins, (AnswerFault::RoleOnly, percent));
             }
-            What::RoleOnlyAnswers(n) => self.fault_answers(host(n), begins, AnswerFault::RoleOnly),
             What::ByHand(p, n) => self.by_hand(p % proxies, host(n), begins),
             What::DiskFull(p) => self.world.fill(p % proxies, begins),
             What::TornFile(p) if begins => {
@@ -637,9 +643,9 @@
         }
     }
 
-    /// Something becomes of a host's answers, or nothing any more.
-    fn fault_answers(&self, host: usize, begins: bool, fault: AnswerFault) {
-        self.fleet.hosts.borrow_mut()[host].answers = if begins { fault } else { AnswerFault::None };
+    /// Something becomes of so many percent of a host's answers, or nothing any more.
+    fn fault_answers(&self, host: usize, begins: bool, fault: (AnswerFault, u64)) {
+        self.fleet.hosts.borrow_mut()[host].answers = if begins { fault } else { Default::default() };
     }
 
     /// Operators leave a host out at a proxy, or take it back; both versions of it are bound.
--- a/crates/lab/src/sim/plan.rs
+++ b/crates/lab/src/sim/plan.rs
@@ -134,14 +134,14 @@
     /// Somebody sends false news to all proxies in the name of one.
     #[serde(alias = "liar")]
     ForgedPeer(usize),
-    /// Half of a host's answers are cut behind the end of their command, and their sessions stay open and silent.
-    CutAnswers(usize),
-    /// Half of a host's answers are lost on their way, and their sessions stay open and silent.
-    LostAnswers(usize),
-    /// Half of a host's answers take so much longer on their way, in milliseconds.
-    DelayedAnswers(usize, u64),
-    /// Half of a host's answers tell its role and then nothing more; their sessions stay open.
-    RoleOnlyAnswers(usize),
+    /// So many percent of a host's answers are cut behind the end of their command; their sessions stay open and silent.
+    CutAnswers(usize, u64),
+    /// So many percent of a host's answers are lost on their way; their sessions stay open and silent.
+    LostAnswers(usize, u64),
+    /// So many percent of a host's answers take so much longer on their way, in milliseconds.
+    DelayedAnswers(usize, u64, u64),
+    /// So many percent of a host's answers tell its role and nothing more; their sessions stay open.
+    RoleOnlyAnswers(usize, u64),
 }
 
 impl Plan {
@@ -221,11 +221,12 @@
         for _ in 0..to(4) {
             let host = to(hosts) as usize;
             let host = if to(2) == 0 { host / members * members } else { host };
+            let percent = 10 + to(91);
             let what = match to(4) {
-                0 => What::CutAnswers(host),
-                1 => What::LostAnswers(host),
-                2 => What::DelayedAnswers(host, 50 + to(1_000)),
-                _ => What::RoleOnlyAnswers(host),
+                0 => What::CutAnswers(host, percent),
+                1 => What::LostAnswers(host, percent),
+                2 => What::DelayedAnswers(host, percent, 50 + to(1_000)),
+                _ => What::RoleOnlyAnswers(host, percent),
             };
             faults.push(Fault { at_ms: 1_000 + to(22_000), for_ms: 500 + to(5_000), what });
         }
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -130,6 +130,8 @@
     held: Vec<(Machine, Machine, Due)>,
     /// Machines without power.
     dark: BTreeSet<Machine>,
+    /// When a direction was last cut, or a machine last lost power.
+    last_cut: Option<Us>,
     accepted: (Machine, u64),
     /// Connections that a machine closed over bytes it had not read, or that were on their way: who sent them, who closed.
     closed_over: Vec<(Machine, Machine)>,
@@ -163,6 +165,7 @@
             cut: BTreeSet::new(),
             held: Vec::new(),
             dark: BTreeSet::new(),
+            last_cut: None,
             accepted: (0, 0),
             closed_over: Vec::new(),
             choppy,
@@ -255,6 +258,7 @@
         let mut w = self.0.borrow_mut();
         if cut {
             w.cut.insert((from, to));
+            w.last_cut = Some(w.now);
             return;
         }
         w.cut.remove(&(from, to));
@@ -278,6 +282,7 @@
             w.dark.remove(&machine);
         } else {
             w.dark.insert(machine);
+            w.last_cut = Some(w.now);
         }
     }
 
@@ -301,6 +306,19 @@
         self.0.borrow().pipes.get(&number).is_some_and(|p| !p.writer_gone)
     }
 
+    /// Whether what is written on an accepted connection now gets to the other end.
+    pub fn is_heard(&self, number: u64) -> bool {
+        let w = self.0.borrow();
+        let Some(p) = w.pipes.get(&number) else { return false };
+        let is_dark = w.dark.contains(&p.from) || w.dark.contains(&p.to);
+        !p.writer_gone && !is_dark && !w.cut.contains(&(p.to, p.from))
+    }
+
+    /// Whether anything was cut, or lost its power, since this moment and by the other.
+    pub fn was_cut(&self, since: Us, by: Us) -> bool {
+        self.0.borrow().last_cut.is_some_and(|at| (since..=by).contains(&at))
+    }
+
     /// When what came last on an accepted connection was sent.
     pub fn sent(&self, number: u64) -> Us {
         let w = self.0.borrow();
--- a/crates/lab/tests/mutants.rs
+++ b/crates/lab/tests/mutants.rs
@@ -3,6 +3,7 @@
 #![cfg(feature = "mutants")]
 
 use sillfold::mutants;
+use sillfold_lab::sim::deployment::{Class, Deployment, Effect, LagCheck, Need, Tokens};
 use sillfold_lab::sim::plan::{Family, Fault, Plan, What};
 use sillfold_lab::sim::run;
 
@@ -204,3 +205,86 @@
     let plan = Plan { clients: 40, ..day(22, Family::Await, faults) };
     caught("stops with requests open", "everything is given back", &plan);
 }
+
+/// Proxies that remember what sessions write, before replicas that do not check and are this far behind.
+fn remembered(replication_delay_ms: u64) -> Deployment {
+    let class = |name: &str, need, deadline_ms, share| Class {
+        name: name.into(),
+        need,
+        effect: Effect::Safe,
+        deadline_ms,
+        aim_ms: deadline_ms / 2,
+        worth: 3.0,
+        late_worth: 0.5,
+        aim_stretch: 0.0,
+        work_us: 4_000.0,
+        share,
+    };
+    let classes = vec![
+        class("write", Need::Write, 400, 0.05),
+        class("own", Need::Session, 2_000, 0.65),
+        class("recent", Need::Bounded(500), 1_500, 0.3),
+    ];
+    Deployment {
+        tokens: Tokens::Remembered,
+        lag_check: LagCheck::None,
+        replication_delay_ms,
+        dial_timeout_ms: 1_500,
+        classes,
+        ..Deployment::default()
+    }
+}
+
+/// A day of this deployment.
+fn day_of(seed: u64, deployment: Deployment, faults: Vec<Fault>) -> Plan {
+    Plan { deployment: Some(deployment), rest_ms: 120, ..day(seed, Family::Silent, faults) }
+}
+
+/// The answers to writes are lost, and their attempts end without one.
+#[test]
+fn a_write_that_ended_without_its_answer_and_is_forgotten() {
+    let faults = vec![fault(1_000, 6_000, What::LostAnswers(0, 50))];
+    caught("unknown writes are forgotten", "no stale read", &day_of(23, remembered(1_000), faults));
+}
+
+/// Reads wait for sessions that come up late, while their own session writes.
+#[test]
+fn a_read_whose_session_writes_while_it_waits() {
+    let faults: Vec<Fault> = [1, 2].map(|host| fault(0, 8_000, What::LateSessions(host, 900))).into();
+    caught("sessions are read at arrival", "no stale read", &day_of(24, remembered(700), faults));
+}
+
+/// The answers to writes are long on their way.
+#[test]
+fn a_write_that_is_out_and_ignored() {
+    let faults = vec![fault(1_000, 6_000, What::DelayedAnswers(0, 50, 300))];
+    caught("writes in progress are ignored", "no stale read", &day_of(25, remembered(1_000), faults));
+}
+
+/// Sessions come up so late that what their choice rested on is true no longer.
+#[test]
+fn an_attempt_that_begins_unchecked() {
+    let faults: Vec<Fault> = [1, 2].map(|host| fault(0, 8_000, What::LateSessions(host, 900))).into();
+    caught("attempts begin unchecked", "no stale read", &day_of(26, remembered(700), faults));
+}
+
+/// A primary that hands over says so, and then nothing; what it answers later is cut before its notes.
+#[test]
+fn a_note_that_waits_for_the_end_of_its_answer() {
+    let faults = vec![
+        fault(2_900, 5_000, What::Lag(0, 5_000)),
+        fault(2_950, 350, What::RoleOnlyAnswers(0, 100)),
+        fault(3_000, 5_000, What::Handover(0)),
+        fault(3_300, 3_000, What::CutAnswers(0, 100)),
+    ];
+    caught("notes wait for the answer's end", "no stale read", &day_of(27, remembered(1_000), faults));
+}
+
+/// Answers to writes are cut behind their command. No stale read shows this fault: as long as such an attempt waits its
+/// session's reads go to the primary, and at its end the write counts as committed.
+#[test]
+fn a_complete_answer_that_is_waited_on() {
+    let faults = vec![fault(1_000, 6_000, What::CutAnswers(0, 60))];
+    let plan = day_of(28, remembered(1_000), faults);
+    caught("answers wait for readiness", "no complete answer is withheld", &plan);
+}
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -1,7 +1,12 @@
 //! The simulation itself: the same day twice to the byte, days that hold the rules, and plans that shrink.
 
+use sillfold_lab::sim::deployment::{
+    DedupScope, Deployment, Effect, LagCheck, ListRole, MAX_CLASSES, MAX_ZONES, Need, Tokens,
+};
 use sillfold_lab::sim::plan::{Family, Fault, Plan, What};
 use sillfold_lab::sim::run;
+use std::collections::BTreeSet;
+use std::fmt::Debug;
 use std::process::Command;
 
 /// In two processes: an address, a thread or the order of a hash map that leaks in shows.
@@ -69,3 +74,88 @@
     let wrong = sillfold_conf::parse::<Plan>("plan", r#"{"seed": 1, "proxies": 0}"#);
     assert!(wrong.is_err_and(|e| e[0].starts_with("plan:")));
 }
+
+/// The seeds whose deployments have to hold every pair of settings.
+const SEEDS: std::ops::Range<u64> = 1..401;
+
+/// How many values, or pairs of values, of the deployments' settings occur.
+fn count<T: Debug>(of: impl Fn(&Deployment) -> T) -> usize {
+    let values: BTreeSet<String> =
+        SEEDS.filter_map(|seed| Plan::of(seed).deployment).map(|d| format!("{:?}", of(&d))).collect();
+    eprintln!("{values:?}");
+    values.len()
+}
+
+/// A check without how long it waits.
+fn check(d: &Deployment) -> &'static str {
+    d.lag_check.name()
+}
+
+/// A way of listing roles without how late it is.
+fn list_role(d: &Deployment) -> &'static str {
+    d.list_role.name()
+}
+
+#[test]
+fn every_pair_of_settings_is_drawn() {
+    assert_eq!(count(|d| (d.tokens, check(d))), 2 * 3);
+    assert_eq!(count(|d| (d.tokens, list_role(d))), 2 * 3);
+    assert_eq!(count(|d| (check(d), d.answer_positions)), 3 * 2);
+    assert_eq!(count(|d| (d.probes, d.answer_positions)), 2 * 2);
+    assert_eq!(count(|d| (d.tokens, d.synchronous_commit)), 2 * 2);
+    assert_eq!(count(|d| (check(d), list_role(d))), 3 * 3);
+    assert_eq!(count(|d| (check(d), d.probes)), 3 * 2);
+    assert_eq!(count(|d| (d.cancel, d.max_retry_after_ms > 0)), 2 * 2);
+    assert_eq!(count(|d| d.classes.len()), MAX_CLASSES);
+    assert_eq!(count(|d| d.zones), MAX_ZONES);
+    assert_eq!(count(|d| d.max_attempts), 10);
+}
+
+/// Each kind of class and of repeat, under each way in which sessions' writes are known; and tiers of any size.
+#[test]
+fn every_kind_of_class_and_every_size_of_tier_is_drawn() {
+    let plans: Vec<Plan> = SEEDS.map(Plan::of).collect();
+    let named = plans.iter().filter_map(|p| Some(p.deployment.as_ref()?.named_proxies));
+    assert!(named.clone().any(|n| n == 1) && named.clone().any(|n| n > 300));
+    assert!(plans.iter().any(|p| p.proxies > 100) && plans.iter().all(|p| p.proxies < 4 || p.clients == 1));
+    let mut kinds = BTreeSet::new();
+    for plan in &plans {
+        let d = plan.deployment();
+        assert!(d.named_proxies >= plan.proxies, "seed {}", plan.seed);
+        for class in &d.classes {
+            let need = match class.need {
+                Need::Any => "any",
+                Need::Bounded(_) => "bounded",
+                Need::Session => "session",
+                Need::Write => "write",
+            };
+            let effect = match class.effect {
+                Effect::Safe => "safe",
+                Effect::Once => "once",
+                Effect::Keyed(DedupScope::All, _) => "all",
+                Effect::Keyed(DedupScope::Zone, _) => "zone",
+                Effect::Keyed(DedupScope::Group, _) => "group",
+            };
+            kinds.insert((d.tokens, need, effect));
+        }
+        let has = |need| d.classes.iter().any(|c| c.need == need);
+        assert!(!has(Need::Session) || has(Need::Write), "seed {}", plan.seed);
+    }
+    assert_eq!(kinds.len(), 2 * 4 * 5, "{kinds:?}");
+}
+
+/// Plans of before there were deployments load, and mean what they did.
+#[test]
+fn a_plan_without_a_deployment_is_that_of_six_classes() {
+    let text = r#"{"seed": 7, "family": "bounce", "proxies": 2, "groups": 1, "members": 3, "clients": 4,
+        "rest_ms": 60, "for_ms": 3000, "choppy": false, "blind": true,
+        "faults": [{"at_ms": 500, "what": "watches_hushed"}, {"at_ms": 600, "for_ms": 9, "what": {"liar": 1}}]}"#;
+    let plan = sillfold_conf::parse::<Plan>("plan", text).expect("it is read");
+    assert_eq!(plan.faults[0].what, What::WatchesSilent);
+    assert_eq!(plan.faults[1].what, What::ForgedPeer(1));
+    let d = plan.deployment();
+    assert_eq!((d.tokens, d.lag_check, d.list_role), (Tokens::Carried, LagCheck::Refuse, ListRole::Late(0)));
+    assert_eq!((d.answer_positions, d.classes.len()), (false, 6));
+    let settings = d.settings(1, plan.proxies, plan.talk);
+    assert!(sillfold::settings::parse(settings.to_string().as_bytes()).is_ok());
+}
