Bind a session's reads to a write whose answer is passed on in pieces, up to its end

Cause, found by three stories on sockets: an attempt with a long value ends for the module with the value's beginning (`Life::serve`, so that a slow reader does not look like a slow host), and `Sessions` took that for the commit, which comes behind the value; the notes behind a long value were dropped (`Connection::next`); and the position of a commit that hosts tell ahead of the proxy's clock was cut to a millisecond ahead. Change: `StreamedWrite` keeps the session in the record from the value's beginning to its end, and brings the position told there; a lost role told there is heard too. A commit's position counts as told, up to 10 s ahead of the clock; beyond that it is none.

--- a/src/api.rs
+++ b/src/api.rs
@@ -358,6 +358,19 @@
     pub report: Report,
 }
 
+/// What sessions write beside the attempts that the module knows to be out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SessionNews {
+    /// Whether another process answers requests of the same sessions. What such a process has answered up to now
+    /// binds in any case: it is fed at the start too, for the process before.
+    OtherProcess(bool),
+    /// The answer to a write of this session has begun and is passed on in pieces: it commits at any moment up to its
+    /// end, whatever its attempt's outcome says.
+    StreamBegins(u64),
+    /// The end of that, and the position of the commit, where one was told.
+    StreamEnds(u64, Option<Micros>),
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -391,9 +404,8 @@
         /// Its report.
         report: Report,
     },
-    /// Whether another process answers requests of the same sessions. What such a process has answered up to now
-    /// binds in any case: it is fed at the start too, for the process before.
-    OtherProcess(bool),
+    /// News of what sessions write, beside attempts and their ends.
+    Sessions(SessionNews),
     /// Operators leave a server out, or use it again, as of this time.
     ByHand {
         /// The server.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 
 use crate::api::*;
 use crate::mutants;
-use crate::sessions::{PRESENT, Sessions};
+use crate::sessions::{PRESENT, Sessions, committed_by};
 pub use crate::state::tail_adjusted;
 use crate::state::*;
 use oorandom::Rand64;
@@ -186,7 +186,7 @@
                     self.report(*server, if *ok { *report } else { Report::default() }, false);
                 }
                 Event::Noted { server, note } => self.report(*server, *note, true),
-                Event::OtherProcess(runs) => self.sessions.written_elsewhere(*runs, self.now),
+                Event::Sessions(news) => self.sessions.hear(*news, self.now),
                 Event::Timer(_) => {}
                 Event::ByHand { server, out, since } => self.by_hand(*server, *out, *since),
                 Event::Peer { from, news } => {
@@ -632,7 +632,7 @@
             self.role(i, Role::Replica, self.now, true);
         }
         if (need, self.set.tokens) == (Need::Write, Tokens::Remembered) {
-            self.sessions.ends(session, e, self.now);
+            self.sessions.ends(session, committed_by(e, self.now), self.now);
         }
         let dirty = self.groups.get_mut(&group).is_some_and(|g| {
             g.scout = g.scout.filter(|&s| s != id);
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -11,7 +11,7 @@
 use crate::talk;
 use crate::{
     Action, Arrival, Effect, Entry, Event, GroupId, ListKind, Listed, Micros, Need, Outcome, Report,
-    RequestId, Returned, Role, Router, ServerId, Settings,
+    RequestId, Returned, Role, Router, ServerId, SessionNews, Settings,
 };
 use async_channel::{Receiver, Sender, TryRecvError, unbounded};
 use futures_lite::future;
@@ -23,6 +23,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::info;
 
@@ -404,7 +405,17 @@
 
     /// Whether another process serves the same clients: what it answers binds the reads of this one's sessions.
     pub fn other_process(&self, runs: bool) {
-        self.feed(Event::OtherProcess(runs));
+        self.feed(Event::Sessions(SessionNews::OtherProcess(runs)));
+    }
+
+    /// The answer to a request has begun and is passed on in pieces: where it is a write, what keeps its session's
+    /// reads to what it commits, until it is dropped.
+    pub fn streamed_write(self: &Rc<Core>, call: &Call) -> Option<StreamedWrite> {
+        if !self.worths.get(usize::from(call.class))?.writes {
+            return None;
+        }
+        self.feed(Event::Sessions(SessionNews::StreamBegins(call.session)));
+        Some(StreamedWrite { core: self.clone(), session: call.session, commit: None })
     }
 
     /// An answer that is not whole yet has told this of its server.
@@ -598,6 +609,20 @@
     let _ = open.orders.try_send(order);
 }
 
+/// A write whose answer is passed on in pieces. It is over, and committed, when this is dropped.
+pub struct StreamedWrite {
+    core: Rc<Core>,
+    session: u64,
+    /// The position of the commit, once it is told.
+    pub commit: Option<Micros>,
+}
+
+impl Drop for StreamedWrite {
+    fn drop(&mut self) {
+        self.core.feed(Event::Sessions(SessionNews::StreamEnds(self.session, self.commit)));
+    }
+}
+
 /// A request's place in the core; dropping it gives the place back.
 pub struct Ticket<'a> {
     core: &'a Core,
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -3,7 +3,7 @@
 //! never choose a host, never send anything a second time by itself, and never put a connection
 //! back before the host has said that it is ready for the next query.
 
-use super::core::{Chore, Clock, Core};
+use super::core::{Chore, Clock, Core, StreamedWrite};
 use super::listing::{Listing, Status};
 use super::world::{self, Spawner, Stream};
 use super::{Budget, Held, by, complain, read};
@@ -118,6 +118,8 @@
     /// Bytes of the value, and those still to come.
     pub value: usize,
     left: usize,
+    /// Where it is that to a write.
+    pub write: Option<StreamedWrite>,
 }
 
 impl LongAnswer {
@@ -457,7 +459,7 @@
                 attempted
             }
             Some(Answered::Long { note, column, value }) => {
-                let long = Some(Box::new(LongAnswer { opened, column, value, left: value }));
+                let long = Some(Box::new(LongAnswer { opened, column, value, left: value, write: None }));
                 Attempted { note, long, ..Attempted::without_answer(Outcome::Ok) }
             }
             // Guards against a host that answers late, into the next request's connection.
@@ -475,12 +477,21 @@
 
     /// What comes behind the value of a long answer: the command's tag, if it ends as it should.
     pub async fn finish(&self, long: Box<LongAnswer>) -> Option<String> {
-        let Opened { server, mut connection } = long.opened;
-        let Backend::CommandComplete(tag) = by(world::now() + STALLED, connection.next()).await?? else {
+        let LongAnswer { opened: Opened { server, mut connection }, write, .. } = *long;
+        let mut note = Report::default();
+        let Backend::CommandComplete(tag) = by(world::now() + STALLED, connection.next(&mut note)).await??
+        else {
             return None;
         };
         // The client waits for this only as long as it makes no difference.
-        let ready = by(world::now() + AFTERMATH, connection.next()).await.flatten();
+        let ready = by(world::now() + AFTERMATH, connection.next(&mut note)).await.flatten();
+        if let Some(mut write) = write {
+            write.commit = note.position;
+        }
+        if note.role == Some(Role::Replica) {
+            // The value was read long before: where it stood then says nothing of how far it is behind.
+            self.core.noted(server, Report { position: None, ..note });
+        }
         if ready == Some(Backend::ReadyForQuery) && connection.inbox.is_empty() {
             self.give_back(server, connection);
         }
@@ -658,11 +669,12 @@
         }
     }
 
-    /// The next message that is more than a note.
-    async fn next(&mut self) -> Option<Backend> {
+    /// The next message that is more than a note; notes are taken in.
+    async fn next(&mut self, note: &mut Report) -> Option<Backend> {
         loop {
             match self.message().await.ok()? {
-                Backend::ParameterStatus { .. } | Backend::Skipped => {}
+                Backend::ParameterStatus { name, value } => drop(note_from(note, &name, &value)),
+                Backend::Skipped => {}
                 other => return Some(other),
             }
         }
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -156,7 +156,8 @@
                     ended(outcome, note);
                     return Some(Verdict::Rejected(e));
                 }
-                Happened::Ended(Attempted { outcome, note, long: Some(long), .. }) => {
+                Happened::Ended(Attempted { outcome, note, long: Some(mut long), .. }) => {
+                    long.write = core.streamed_write(call);
                     // The host has done its work: a slow reader must not look like a slow host.
                     ended(outcome, note);
                     return self.pass_on(long).await;
--- a/src/sessions.rs
+++ b/src/sessions.rs
@@ -4,14 +4,15 @@
 //! way, at any moment of that, so the write may be committed without this proxy having heard of it. Once the attempt
 //! has ended, the commit lies at the position its answer told, or at the moment of the end at the latest.
 
-use crate::api::{Micros, Outcome, Returned};
+use crate::api::{Micros, Outcome, Returned, SessionNews};
 use crate::mutants;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Sessions that are remembered.
 const MOST_SESSIONS: usize = 50_000;
-/// A commit's position is told rounded up to the millisecond, so far ahead of the clock at most.
-const COMMIT_AHEAD: Micros = 1_000;
+/// A commit's position is told rounded up, by clocks that may be ahead. One that is further ahead is no position:
+/// believed, it would bind every session once it is forgotten.
+const MOST_AHEAD: Micros = 10_000_000;
 /// A position that no replica is ever known to have reached: only the primary serves such a read.
 pub(crate) const PRESENT: Micros = Micros::MAX;
 
@@ -36,10 +37,18 @@
 }
 
 impl Sessions {
-    /// Whether another process takes writes of the same sessions. What one has answered up to now binds every session.
-    pub fn written_elsewhere(&mut self, runs: bool, now: Micros) {
-        self.written_elsewhere = runs;
-        self.raise_floor(now);
+    /// Takes in what sessions write beside attempts.
+    pub fn hear(&mut self, news: SessionNews, now: Micros) {
+        match news {
+            SessionNews::OtherProcess(runs) => {
+                self.written_elsewhere = runs;
+                self.raise_floor(now);
+            }
+            SessionNews::StreamBegins(session) => self.begins(session),
+            SessionNews::StreamEnds(session, commit) => {
+                self.ends(session, Some(commit.unwrap_or(now)), now);
+            }
+        }
     }
 
     /// A write attempt of the session is sent.
@@ -47,11 +56,12 @@
         self.writes.entry(session).or_default().in_progress += 1;
     }
 
-    /// A write attempt of the session has ended.
-    pub fn ends(&mut self, session: u64, ended: &Returned, now: Micros) {
+    /// A write attempt of the session has ended; where it may have run, it was committed at this position at the latest.
+    pub fn ends(&mut self, session: u64, committed: Option<Micros>, now: Micros) {
         let Some(writes) = self.writes.get_mut(&session) else { return };
         writes.in_progress = writes.in_progress.saturating_sub(1);
-        if let Some(position) = committed_by(ended, now).filter(|&position| position > writes.committed) {
+        let committed = committed.map(|position| if position > now + MOST_AHEAD { now } else { position });
+        if let Some(position) = committed.filter(|&position| position > writes.committed) {
             self.by_position.remove(&(writes.committed, session));
             writes.committed = position;
             self.by_position.insert((position, session));
@@ -96,9 +106,9 @@
 
 /// Where a write attempt may have run, the position that it was committed at, at the latest. What ended without its
 /// answer counts as committed at its end: the answer may be on its way, or unread.
-fn committed_by(ended: &Returned, now: Micros) -> Option<Micros> {
+pub(crate) fn committed_by(ended: &Returned, now: Micros) -> Option<Micros> {
     match (ended.outcome, ended.note.position) {
-        (Outcome::Ok, Some(position)) => Some(position.min(now + COMMIT_AHEAD)),
+        (Outcome::Ok, Some(position)) => Some(position),
         (Outcome::Ok, None) => Some(now),
         _ if mutants::on("unknown writes are forgotten") => None,
         (outcome, _) => (!outcome.never_ran()).then_some(now),
--- a/tests/session_reads.rs
+++ b/tests/session_reads.rs
@@ -270,21 +270,59 @@
 #[test]
 fn what_another_process_answered_binds_the_reads_of_this_one() {
     let mut rig = Rig::new(remembering(LagCheck::Unchecked));
-    rig.at(0, &[Event::OtherProcess(false)]);
+    rig.at(0, &[Event::Sessions(SessionNews::OtherProcess(false))]);
     replicas_behind(&mut rig, MS);
     let to = read_goes_to(&mut rig, 10);
     assert!(no_replica(&to), "behind this one's start: {to:?}");
     replicas_behind(&mut rig, 0);
     let to = read_goes_to(&mut rig, 20);
     assert!(!no_replica(&to), "{to:?}");
-    rig.at(5 * MS, &[Event::OtherProcess(true)]);
+    rig.at(5 * MS, &[Event::Sessions(SessionNews::OtherProcess(true))]);
     replicas_behind(&mut rig, 0);
     let to = read_goes_to(&mut rig, 30);
     assert!(no_replica(&to), "the other runs: {to:?}");
-    rig.at(5 * MS, &[Event::OtherProcess(false)]);
+    rig.at(5 * MS, &[Event::Sessions(SessionNews::OtherProcess(false))]);
     let to = read_goes_to(&mut rig, 40);
     assert!(no_replica(&to), "behind the other's end: {to:?}");
     replicas_behind(&mut rig, 0);
     let to = read_goes_to(&mut rig, 50);
     assert!(!no_replica(&to), "{to:?}");
 }
+
+/// Its attempt has ended with the beginning of its answer; it commits with the end.
+#[test]
+fn a_write_whose_answer_is_passed_on_binds_up_to_its_end() {
+    for told in [true, false] {
+        let mut rig = write_out(WRITE);
+        rig.at(0, &[Event::Sessions(SessionNews::StreamBegins(9))]);
+        rig.end_untold(1, PRIMARY, Outcome::Ok, 5 * MS);
+        rig.at(10 * MS, &[]);
+        replicas_behind(&mut rig, 0);
+        let to = read_goes_to(&mut rig, 10);
+        assert!(no_replica(&to), "it is passed on: {to:?}");
+        rig.at(10 * MS, &[Event::Sessions(SessionNews::StreamEnds(9, told.then_some(rig.now + 10 * MS)))]);
+        let to = read_goes_to(&mut rig, 20);
+        assert!(no_replica(&to), "it has committed: {to:?}");
+        replicas_behind(&mut rig, 0);
+        let to = read_goes_to(&mut rig, 30);
+        assert!(!no_replica(&to), "{to:?}");
+    }
+}
+
+/// Clocks of servers may be ahead; a position that makes no sense must not bind for good.
+#[test]
+fn a_commit_ahead_of_the_clock_binds_as_told_and_one_beyond_belief_as_of_its_end() {
+    for (ahead, binds) in [(300 * MS, true), (3_600_000 * MS, false)] {
+        let mut rig = write_out(WRITE);
+        rig.now += 5 * MS;
+        let note = Report { position: Some(rig.now + ahead), role: Some(Role::Primary), in_flight: None };
+        let (report, outcome, latency) = (Report::default(), Outcome::Ok, 5 * MS);
+        let end =
+            Returned { id: 1, attempt: 0, server: PRIMARY, outcome, latency, finished: true, note, report };
+        rig.at(0, &[Event::Outcome(end)]);
+        rig.at(100 * MS, &[]);
+        replicas_behind(&mut rig, 0);
+        let to = read_goes_to(&mut rig, 10);
+        assert_eq!(no_replica(&to), binds, "{ahead} us ahead: {to:?}");
+    }
+}
