Count a stale answer as turned away only where a second run does no harm; begin with the list

Change: `Class::stale_outcome` says what such an answer amounts to, a miss only for classes that are safe to repeat, else an error. What binds a process as it begins is fed with its first list (`SessionNews::Started`).

--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -159,3 +159,34 @@
     let settings = d.settings(1, plan.proxies, plan.talk);
     assert!(sillfold::settings::parse(settings.to_string().as_bytes()).is_ok());
 }
+
+/// A primary that has handed over answers from data that are too old: the answer is not passed on, and the request, which
+/// must not run twice, is not sent again.
+#[test]
+fn a_read_whose_answer_is_too_old_does_not_run_twice() {
+    let handovers = (0..10u64).map(|n| (700 + 700 * n, 500, What::Handover(0)));
+    let lags = (0..3).map(|host| (600, 7_000, What::Lag(host, 2_000)));
+    let faults: Vec<Fault> =
+        handovers.chain(lags).map(|(at_ms, for_ms, what)| Fault { at_ms, for_ms, what }).collect();
+    let mut deployment =
+        Deployment { tokens: Tokens::Remembered, ..Deployment::standard(Family::Silent, false) };
+    deployment.classes.iter_mut().for_each(|class| class.effect = Effect::Once);
+    let drawn = Plan::of(1);
+    for seed in 1..=24 {
+        let plan = Plan {
+            seed,
+            proxies: 2,
+            groups: 1,
+            members: 3,
+            clients: 12,
+            rest_ms: 40,
+            for_ms: 8_000,
+            choppy: false,
+            talk: false,
+            deployment: Some(deployment.clone()),
+            faults: faults.clone(),
+            ..drawn.clone()
+        };
+        assert_eq!(run(&plan, false).broken, None, "seed {seed}");
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -29,17 +29,6 @@
     Write,
 }
 
-impl Need {
-    /// Whether data as of `position` is too old for a read that was sent at this time and has to see `token`.
-    pub fn is_missed(&self, position: Micros, token: Micros, sent: Micros) -> bool {
-        match *self {
-            Need::Bounded(bound) => position.saturating_add(bound) < sent,
-            Need::Session => position < token,
-            Need::Any | Need::Fresh | Need::Write => false,
-        }
-    }
-}
-
 /// Where repeats of a keyed request are recognised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DedupScope {
@@ -96,6 +85,22 @@
 }
 
 impl Class {
+    /// What a replica's answer to a read amounts to that was sent at this time and has to see `token`, where its data is
+    /// too old: as it says itself or, where it tells no position, as far as is known of the replica. It has run, and only
+    /// where that does no harm does it count as turned away.
+    pub fn stale_outcome(
+        &self, note: &Report, known: Option<Micros>, token: Micros, sent: Micros,
+    ) -> Option<Outcome> {
+        let position = note.position.or(known).unwrap_or(0);
+        let stale = match self.need {
+            Need::Bounded(bound) => position.saturating_add(bound) < sent,
+            Need::Session => position < token,
+            Need::Any | Need::Fresh | Need::Write => false,
+        };
+        let outcome = if self.effect == Effect::Safe { Outcome::Miss } else { Outcome::Error };
+        (stale && note.role == Some(Role::Replica)).then_some(outcome)
+    }
+
     /// How old its data may be, where that is bounded.
     pub fn bound(&self) -> Option<Micros> {
         match self.need {
@@ -361,8 +366,9 @@
 /// What sessions write beside the attempts that the module knows to be out.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum SessionNews {
-    /// Whether another process answers requests of the same sessions. What such a process has answered up to now
-    /// binds in any case: it is fed at the start too, for the process before.
+    /// This process begins: what one before it has answered binds.
+    Started,
+    /// Whether another process answers requests of the same sessions. What it has answered up to now binds.
     OtherProcess(bool),
     /// The answer to a write of this session has begun and is passed on in pieces: it commits at any moment up to its
     /// end, whatever its attempt's outcome says.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -382,17 +382,17 @@
         let Some((latest, before)) = r.attempts.split_last().filter(|_| !r.closed) else { return false };
         let primary = self.groups.get(&r.group).and_then(|g| g.primary) == Some(latest.server);
         let current = primary || self.checked(r) || self.current_enough(latest.server, r);
-        let allowed = current && self.now < self.repeatable_until(r, before);
-        allowed || mutants::on("attempts begin unchecked")
+        (current && self.now < self.repeatable_until(r, before)) || mutants::on("attempts begin unchecked")
     }
 
-    /// Whether an answer to what was sent at this time says itself that it is older than the read may be: it
-    /// counts as turned away. Guards against a primary that handed over and has not said so yet.
-    pub fn is_stale(&self, id: RequestId, server: ServerId, note: &Report, sent: Micros) -> bool {
-        let Some(r) = self.requests.get(&id).filter(|r| !self.checked(r)) else { return false };
-        let known = self.index.get(&server).and_then(|&i| self.servers[i].position);
-        let position = note.position.or(known).unwrap_or(0);
-        note.role == Some(Role::Replica) && self.set.classes[r.class].need.is_missed(position, r.token, sent)
+    /// What an answer to what was sent at this time amounts to where it says itself that it is older than the
+    /// read may be. Guards against a primary that handed over and has not said so yet.
+    pub fn stale_outcome(
+        &self, id: RequestId, from: ServerId, note: &Report, sent: Micros,
+    ) -> Option<Outcome> {
+        let r = self.requests.get(&id).filter(|r| !self.checked(r))?;
+        let known = self.index.get(&from).and_then(|&i| self.servers[i].position);
+        self.set.classes[r.class].stale_outcome(note, known, r.token, sent)
     }
 
     /// Where to send a request now; `None` where it has to wait.
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -195,6 +195,8 @@
     says: RefCell<Option<Sender<Vec<Item>>>>,
     /// Closed once discovery has spoken.
     listed: (Sender<()>, Receiver<()>),
+    /// Whether any list has come, also one of before.
+    has_list: Cell<bool>,
 }
 
 impl Core {
@@ -238,9 +240,8 @@
             worths,
             says: RefCell::default(),
             listed: async_channel::bounded(1),
+            has_list: Cell::default(),
         };
-        // What a process before this one has answered is not known here.
-        core.other_process(false);
         (core, todo)
     }
 
@@ -466,7 +467,13 @@
         if !cached {
             self.listed.0.close();
         }
-        self.feed(Event::List { kind, entries: entries.into() });
+        let list = Event::List { kind, entries: entries.into() };
+        if self.has_list.replace(true) {
+            self.feed(list);
+        } else {
+            // Together: what comes before the first list would put off the first probes.
+            self.feed_all(&[Event::Sessions(SessionNews::Started), list]);
+        }
         ids
     }
 
@@ -493,11 +500,16 @@
 
     /// Hands one event to the module as it happens, and its actions to those who carry them out.
     fn feed(&self, event: Event) {
+        self.feed_all(&[event]);
+    }
+
+    /// The same of events of one moment.
+    fn feed_all(&self, events: &[Event]) {
         let mut inner = self.inner.borrow_mut();
         let inner = &mut *inner;
         let earliest = inner.timers.peek().map(|t| t.0.0);
         let mut actions = std::mem::take(&mut inner.actions);
-        inner.router.handle(self.clock.now(), &[event], &mut actions);
+        inner.router.handle(self.clock.now(), events, &mut actions);
         for action in actions.drain(..) {
             match action {
                 Action::Send { id, server, timeout } => {
@@ -648,10 +660,11 @@
         self.core.inner.borrow_mut().router.may_begin(self.core.clock.now(), self.id)
     }
 
-    /// Whether the module counts this answer to what was sent at that time as turned away for its age.
-    pub fn is_stale(&self, server: ServerId, note: &Report, sent: Micros) -> bool {
+    /// What this answer to what was sent at that time amounts to, where the module holds it to be too old.
+    pub fn stale_outcome(&self, server: ServerId, note: &Report, sent: Micros) -> Option<Outcome> {
         let inner = self.core.inner.borrow();
-        !mutants::on("stale answers pass") && inner.router.is_stale(self.id, server, note, sent)
+        let outcome = inner.router.stale_outcome(self.id, server, note, sent);
+        outcome.filter(|_| !mutants::on("stale answers pass"))
     }
 
     /// The request's last byte is here, and passed on.
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -173,13 +173,12 @@
                     ended(outcome, note);
                     return Some(Verdict::Plain(bytes));
                 }
-                Happened::Ended(Attempted { note, row: Some(_), .. })
-                    if !once && ticket.is_stale(server, &note, sent_at) =>
-                {
-                    // As if the host had turned it away.
-                    ended(Outcome::Miss, note);
-                }
-                Happened::Ended(Attempted { outcome, note, row, .. }) => {
+                Happened::Ended(Attempted { mut outcome, note, mut row, .. }) => {
+                    if let Some(stale) =
+                        ticket.stale_outcome(server, &note, sent_at).filter(|_| !once && row.is_some())
+                    {
+                        (outcome, row) = (stale, None);
+                    }
                     if once {
                         ticket.answered();
                     }
--- a/src/sessions.rs
+++ b/src/sessions.rs
@@ -40,6 +40,7 @@
     /// Takes in what sessions write beside attempts.
     pub fn hear(&mut self, news: SessionNews, now: Micros) {
         match news {
+            SessionNews::Started => self.raise_floor(now),
             SessionNews::OtherProcess(runs) => {
                 self.written_elsewhere = runs;
                 self.raise_floor(now);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -974,7 +974,7 @@
         rig.at(0, &[Event::Request(read)]);
         rig
     };
-    let stale = |rig: &Rig, note: &Report, sent| rig.router.is_stale(1, 1, note, sent);
+    let stale = |rig: &Rig, note: &Report, sent| rig.router.stale_outcome(1, 1, note, sent).is_some();
     let bounded = asked(&set, 1, 0.0);
     assert!(stale(&bounded, &replica, T0) && !stale(&bounded, &replica, T0 - 100 * MS));
     assert!(!stale(&bounded, &primary, T0), "a primary stands at the present");
@@ -982,7 +982,14 @@
     assert!(stale(&asked(&set, 2, 800.0), &replica, T0));
     assert!(!stale(&asked(&set, 2, 901.5), &replica, T0) && !stale(&asked(&set, 2, 0.0), &replica, T0));
     assert!(!stale(&asked(&set, 0, 800.0), &replica, T0), "any data will do");
-    assert!(!bounded.router.is_stale(99, 1, &replica, T0), "no such request");
+    assert_eq!(bounded.router.stale_outcome(99, 1, &replica, T0), None, "no such request");
+    // It has run: only where that does no harm does it count as turned away.
+    assert_eq!(bounded.router.stale_outcome(1, 1, &replica, T0), Some(Outcome::Miss));
+    for effect in [Effect::Unsafe, Effect::Keyed(DedupScope::Group, 1_000 * MS)] {
+        let mut once = set.clone();
+        once.classes[1].effect = effect;
+        assert_eq!(asked(&once, 1, 0.0).router.stale_outcome(1, 1, &replica, T0), Some(Outcome::Error));
+    }
     // Where answers tell no position, what is known of the server has to do.
     let silent = Report { position: None, ..replica };
     assert!(stale(&bounded, &silent, T0));
--- a/tests/session_reads.rs
+++ b/tests/session_reads.rs
@@ -270,7 +270,7 @@
 #[test]
 fn what_another_process_answered_binds_the_reads_of_this_one() {
     let mut rig = Rig::new(remembering(LagCheck::Unchecked));
-    rig.at(0, &[Event::Sessions(SessionNews::OtherProcess(false))]);
+    rig.at(0, &[Event::Sessions(SessionNews::Started)]);
     replicas_behind(&mut rig, MS);
     let to = read_goes_to(&mut rig, 10);
     assert!(no_replica(&to), "behind this one's start: {to:?}");
