--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,29 +1,39 @@
 //! Clients: one task for each connection. It owns how sessions begin and end and the order of their requests, each of
-//! which gets exactly one answer here; the request's life is `life`, the connection `line`, its place `admission`. It must
-//! never choose a host or judge an outcome.
+//! which gets exactly one answer here; the request's life is `life`, what is worked on behind another `pipeline`, the
+//! connection `line`, its place `admission`. It must never choose a host or judge an outcome.
 
 use super::admission::{Admission, Claim};
 use super::complain;
 use super::core::{Call, Clock, Core, fnv1a};
 use super::hosts::Hosts;
-use super::life::{Life, Verdict, give_up_at};
-use super::line::{Abandoned, Came, Line, put_fatal};
+use super::life::{Answer, Client, ClientWatch, Life, Verdict, give_up_at, pass_on_plain, pass_on_value};
+use super::line::{Abandoned, Ahead, Came, Line, ReadAhead, put_fatal};
+use super::pipeline::{Entry, Footprint, Pipeline, Progress};
 use super::statements::{Statements, Terms, Turned};
 use super::world::{self, Listener, Spawner, Stream};
 use crate::Micros;
 use crate::mutants;
-use crate::pg::{self, ErrorFields, Frontend, Startup, Statement, code};
+use crate::pg::{self, ErrorFields, Frontend, Malformed, Startup, Statement, code};
 use futures_lite::future;
 use sillfold_route::{Block, Met, OwnWrites};
 use std::cell::RefCell;
+use std::future::{Future, poll_fn};
 use std::io;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tracing::warn;
 
 /// The wait after a failed accept, so that a full table of descriptors does not make the loop spin.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
 
+/// One connection may have requests open, each of which may need a connection to a host, up to one part in so many of
+/// these: several such clients at once leave room for others.
+const PIPELINE_SHARE: usize = 8;
+/// What the requests behind one another of one connection, and their answers, may hold before no more are begun.
+const MOST_TAKEN_BYTES: usize = 1 << 20;
+
 /// All clients, and what their tasks share.
 pub struct Clients {
     core: Rc<Core>,
@@ -103,9 +113,11 @@
         let task = async move {
             // Given back only after the connection is closed.
             let mut slot = slot;
-            let mut session = Session::new(&all, stream);
+            let watch = ClientWatch::default();
+            let mut session = Session::new(&all, stream, &watch);
             // An error here is the client's connection failing: there is nobody left to tell.
             let ended = refused || session.run().await.is_ok();
+            session.pipeline.abandon();
             if ended && (!session.line.evicted || all.admission.vacate(&mut slot)) {
                 session.line.farewell().await;
             }
@@ -119,19 +131,46 @@
     Some(retry_in.div_ceil(1_000)).filter(|&ms| ms > 0)
 }
 
+/// Whether there is no statement in a text.
+fn is_empty(text: &str) -> bool {
+    text.trim().trim_end_matches(';').is_empty()
+}
+
 /// A request as it was read.
 struct Asked<'a> {
     call: Call,
     statement: Statement,
     /// A plain statement has no id, and is not claimed.
-    _claim: Option<Claim<'a>>,
+    claim: Option<Claim<'a>>,
     plain: Option<Terms>,
 }
 
+/// What a session does next.
+enum Next<'a> {
+    /// When its last byte came.
+    Message(Frontend, Micros),
+    /// One that was read behind another.
+    Request(Box<Result<Option<Asked<'a>>, Turned>>),
+    Malformed(Malformed),
+}
+
+/// What a session waits for while a request is open.
+enum Event<T> {
+    Done(T),
+    Read(ReadAhead),
+    /// A request wants the connection looked at.
+    Look,
+}
+
 /// One client's session.
 struct Session<'a> {
     all: &'a Rc<Clients>,
     line: Line<'a>,
+    watch: &'a ClientWatch,
+    /// The requests that were read behind another.
+    pipeline: Pipeline<'a>,
+    /// What was read behind them, and has to wait until all are answered.
+    held: Option<Next<'a>>,
     /// Who asks and where, as the startup message says; kept only where plain statements are served.
     who: Option<Box<(String, String)>>,
     /// What this session's plain statements have written.
@@ -139,13 +178,41 @@
     /// Whether it stands in a transaction that was refused.
     block: Block,
     /// What the last answer told of its commit, and how long it took.
-    told: Option<(Option<Micros>, Duration)>,
+    told: Told,
+}
+
+/// What the answer to a plain statement told of its commit, and how long it took.
+type Told = Option<(Option<Micros>, Duration)>;
+
+/// Serves one whole request, up to its answer. Nothing if its client left before.
+async fn serve(all: &Rc<Clients>, watch: &ClientWatch, asked: &Asked<'_>) -> (Option<Answer>, Told) {
+    if let Some(refused) = all.turned_away(&asked.call) {
+        return (Some(Answer::Whole(refused)), None);
+    }
+    let mut life = all.life(Client::Watched(watch));
+    let answer = life.serve(&asked.call, &asked.statement, asked.plain.as_ref()).await;
+    (answer, life.told)
+}
+
+impl Clients {
+    /// A request's life, as it begins.
+    fn life<'l, 'a>(&'l self, client: Client<'l, 'a>) -> Life<'l, 'a> {
+        let Clients { core, hosts, admission, way_back, .. } = self;
+        Life { client, core, hosts, admission, way_back: *way_back, told: None }
+    }
+
+    /// The verdict on a request that does not come in: at the door, before it could wait for anything.
+    fn turned_away(&self, call: &Call) -> Option<Verdict> {
+        let comes_in = !self.admission.is_cut_off() && self.core.lets_in(call);
+        (!comes_in).then_some(Verdict::Refused { retry_in: self.core.retry_in })
+    }
 }
 
 impl<'a> Session<'a> {
-    fn new(all: &'a Rc<Clients>, stream: Stream) -> Session<'a> {
+    fn new(all: &'a Rc<Clients>, stream: Stream, watch: &'a ClientWatch) -> Session<'a> {
         let (who, own, block, told) = Default::default();
-        Session { all, line: Line::new(&all.admission, stream), who, own, block, told }
+        let (line, pipeline) = (Line::new(&all.admission, stream), Pipeline::new(watch));
+        Session { all, line, watch, pipeline, held: None, who, own, block, told }
     }
 
     /// From the startup packet to the end.
@@ -154,69 +221,14 @@
             return Ok(());
         }
         let mut skipping = false;
-        loop {
-            let message = match pg::decode_frontend(&mut self.line.inbox) {
-                Ok(Some(message)) => message,
-                Ok(None) => match self.line.flush_and_read().await? {
-                    Came::Bytes => continue,
-                    other => return self.line.over(other).await,
-                },
-                Err(e) => return self.line.fatal(code::PROTOCOL_VIOLATION, &e.0).await,
+        while let Some(next) = self.next().await? {
+            let goes_on = match next {
+                Next::Message(message, came) => self.message(message, came, &mut skipping).await?,
+                Next::Request(read) => self.request(*read).await?,
+                Next::Malformed(e) => return self.line.fatal(code::PROTOCOL_VIOLATION, &e.0).await,
             };
-            (self.line.spoken, self.line.partial) = (true, None);
-            self.line.affordable();
-            match message {
-                Frontend::Terminate => return Ok(()),
-                Frontend::Sync => {
-                    skipping = false;
-                    self.ready();
-                }
-                Frontend::Flush => {}
-                Frontend::Extended if skipping => {}
-                Frontend::Extended => {
-                    // As in PostgreSQL, what follows up to the next Sync is skipped.
-                    skipping = true;
-                    self.line.error(code::FEATURE_NOT_SUPPORTED, "only simple queries are served here");
-                }
-                Frontend::Unreadable(e) => {
-                    self.line.error(code::UNTRANSLATABLE, &e.0);
-                    self.ready();
-                }
-                Frontend::Query(text) if text.trim().trim_end_matches(';').is_empty() => {
-                    self.line.flush().await?;
-                    let core = &self.all.core;
-                    let ready = async {
-                        core.ready().await;
-                        None
-                    };
-                    let abandoned = async { Some(self.line.abandoned(true).await) };
-                    if future::or(ready, abandoned).await == Some(Abandoned::ClientGone) {
-                        return Ok(());
-                    }
-                    match self.all.admission.unready() {
-                        None => pg::put_empty_query(&mut self.line.out),
-                        Some(why) => self.line.error(code::CANNOT_CONNECT_NOW, why),
-                    }
-                    self.ready();
-                }
-                Frontend::Query(text) => {
-                    if !self.request(text, &mut 0).await? {
-                        return Ok(());
-                    }
-                }
-                Frontend::LongQuery(beginning, mut left) => {
-                    if !self.request(beginning, &mut left).await? {
-                        return Ok(());
-                    }
-                    // What is left of one that had its answer before its end.
-                    self.line.flush().await?;
-                    while left > 0 {
-                        match self.line.more().await? {
-                            Came::Bytes => left -= self.line.inbox.skip(left),
-                            other => return self.line.over(other).await,
-                        }
-                    }
-                }
+            if !goes_on {
+                return Ok(());
             }
             if self.line.overrun {
                 return self.line.over(Came::TooMuch).await;
@@ -226,80 +238,371 @@
                 future::yield_now().await;
             }
         }
+        Ok(())
     }
 
-    /// One request, of which so many bytes are still to come, up to its answer; false if there was none
-    /// and the connection has to end.
-    async fn request(&mut self, text: String, left: &mut usize) -> io::Result<bool> {
-        let came = self.all.core.clock.now();
-        match self.inside(&text) {
-            Met::Passes => {}
-            Met::Ended => {
-                pg::put_complete(&mut self.line.out, "ROLLBACK");
+    /// What comes next; nothing if the session ends instead.
+    async fn next(&mut self) -> io::Result<Option<Next<'a>>> {
+        if let Some(held) = self.held.take() {
+            return Ok(Some(held));
+        }
+        loop {
+            match pg::decode_frontend(&mut self.line.inbox) {
+                Ok(Some(message)) => return Ok(Some(Next::Message(message, self.came()))),
+                Ok(None) => match self.line.flush_and_read().await? {
+                    Came::Bytes => {}
+                    other => return self.line.over(other).await.map(|()| None),
+                },
+                Err(e) => return Ok(Some(Next::Malformed(e))),
+            }
+        }
+    }
+
+    /// One message, up to its answer; false if the session ends.
+    async fn message(&mut self, message: Frontend, came: Micros, skipping: &mut bool) -> io::Result<bool> {
+        (self.line.spoken, self.line.partial) = (true, None);
+        self.line.affordable();
+        match message {
+            Frontend::Terminate => return Ok(false),
+            Frontend::Sync => {
+                *skipping = false;
+                self.ready();
+            }
+            Frontend::Flush => {}
+            Frontend::Extended if *skipping => {}
+            Frontend::Extended => {
+                // As in PostgreSQL, what follows up to the next Sync is skipped.
+                *skipping = true;
+                self.line.error(code::FEATURE_NOT_SUPPORTED, "only simple queries are served here");
+            }
+            Frontend::Unreadable(e) => {
+                self.line.error(code::UNTRANSLATABLE, &e.0);
+                self.ready();
+            }
+            Frontend::Query(text) if is_empty(&text) => return self.empty_query().await,
+            Frontend::Query(text) if self.inside(&text) => {}
+            Frontend::Query(text) => {
+                let read = self.read_request(text, came, 0);
+                return self.request(read).await;
+            }
+            Frontend::LongQuery(beginning, left) => {
+                return self.long_request(beginning, came, left).await;
+            }
+        }
+        Ok(true)
+    }
+
+    /// When the last byte came of the message that was decoded last.
+    fn came(&mut self) -> Micros {
+        self.all.core.clock.micros(self.line.came())
+    }
+
+    /// Answers a query without a statement once the proxy is ready; false if its client has left.
+    async fn empty_query(&mut self) -> io::Result<bool> {
+        self.line.flush().await?;
+        let core = &self.all.core;
+        let ready = async {
+            core.ready().await;
+            None
+        };
+        let abandoned = async { Some(self.line.abandoned(true).await) };
+        if future::or(ready, abandoned).await == Some(Abandoned::ClientGone) {
+            return Ok(false);
+        }
+        match self.all.admission.unready() {
+            None => pg::put_empty_query(&mut self.line.out),
+            Some(why) => self.line.error(code::CANNOT_CONNECT_NOW, why),
+        }
+        self.ready();
+        Ok(true)
+    }
+
+    /// One request up to its answer, and all that were read behind it up to theirs; false if one had none and the connection
+    /// has to end.
+    async fn request(&mut self, read: Result<Option<Asked<'a>>, Turned>) -> io::Result<bool> {
+        let asked = match read {
+            Ok(Some(asked)) => asked,
+            Ok(None) => {
+                pg::put_empty_query(&mut self.line.out);
                 self.ready();
                 return Ok(true);
             }
-            Met::Inside => {
-                let what = "the transaction was refused, and so is all in it, up to COMMIT or ROLLBACK";
-                self.line.error(code::FAILED_TRANSACTION, what);
+            Err(Turned { fields, control }) => {
+                self.block.meets(control);
+                pg::put_error(&mut self.line.out, &fields);
                 self.ready();
                 return Ok(true);
             }
+        };
+        self.line.asked = true;
+        // The answers to commands before this one do not wait for its own.
+        self.line.flush().await?;
+        let footprint = self.footprint(&asked.call);
+        let (answer, told) = self.drive(serve(self.all, self.watch, &asked), footprint, &asked.plain).await;
+        self.told = told;
+        if !self.answer(answer, footprint, asked.plain.as_ref()).await? {
+            return Ok(false);
         }
-        match self.read_request(text, came, *left) {
-            Ok(Some(Asked { call, statement, plain, .. })) => {
-                self.line.asked = true;
-                // The answers to commands before this one do not wait for its own.
-                self.line.flush().await?;
-                self.told = None;
-                let stopped = self.all.admission.is_cut_off();
-                let verdict = if !stopped && self.all.core.lets_in(&call) {
-                    let (line, all) = (&mut self.line, self.all);
-                    let (core, hosts, admission, way_back) =
-                        (&all.core, &all.hosts, &all.admission, all.way_back);
-                    let mut life = Life { line, core, hosts, admission, way_back, told: None };
-                    let verdict = life.serve(&call, &statement, plain.as_ref(), left).await;
-                    self.told = life.told;
-                    verdict
-                } else {
-                    // At the door, before it could wait for anything.
-                    Some(Verdict::Refused { retry_in: self.all.core.retry_in })
-                };
-                match verdict {
-                    Some(_) if mutants::on("closes unanswered") => return Ok(false),
-                    Some(verdict) => {
-                        if let Some(terms) = &plain {
-                            self.note_plain(terms, &verdict);
-                        }
-                        let core = &self.all.core;
-                        match &verdict {
-                            Verdict::Refused { .. } => {
-                                core.note(|r| r.unserved(call.class, call.group, true))
-                            }
-                            Verdict::Failed => core.note(|r| r.unserved(call.class, call.group, false)),
-                            _ => {}
+        drop(asked);
+        while let Some(entry) = self.pipeline.pop() {
+            if !self.next_in_turn(entry).await? {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// The answer to a request that was read behind another, whose turn it is now.
+    async fn next_in_turn(&mut self, entry: Entry<'a>) -> io::Result<bool> {
+        let Entry { footprint, claim, progress, .. } = entry;
+        let answer = match progress {
+            Progress::Answered(answer) => answer,
+            Progress::Unanswered { serving, .. } => {
+                self.flush().await?;
+                self.drive(serving, footprint, &None).await
+            }
+        };
+        let answered = self.answer(answer, footprint, None).await;
+        drop(claim);
+        answered
+    }
+
+    /// Writes what is due, and works on the requests behind it meanwhile.
+    async fn flush(&mut self) -> io::Result<()> {
+        self.count_taken();
+        self.pipeline.beside(self.line.flush()).await
+    }
+
+    /// Works on the request whose turn it is, and on those behind it, which are read and begun meanwhile; behind a plain
+    /// statement nothing is begun.
+    async fn drive<T>(
+        &mut self, head: impl Future<Output = T>, footprint: Footprint, plain: &Option<Terms>,
+    ) -> T {
+        let mut head = pin!(head);
+        let alone = plain.is_some();
+        let mut much_comes = false;
+        loop {
+            if !alone {
+                self.take_behind();
+            }
+            let ahead = if self.may_wait(alone) { Ahead::Bounded } else { Ahead::PassingOver };
+            match self.next_event(head.as_mut(), &footprint, ahead, much_comes).await {
+                Event::Done(done) => return done,
+                Event::Look => much_comes = false,
+                Event::Read(ReadAhead::Bytes) => much_comes = true,
+                Event::Read(ReadAhead::Abandoned(why)) => {
+                    self.watch.abandon(why);
+                    return self.end_all(head).await;
+                }
+            }
+        }
+    }
+
+    /// The next event while the request `head` is open.
+    async fn next_event<T>(
+        &mut self, mut head: Pin<&mut impl Future<Output = T>>, footprint: &Footprint, ahead: Ahead,
+        much_comes: bool,
+    ) -> Event<T> {
+        let read = async {
+            if much_comes {
+                // Others have their turn while it does.
+                future::yield_now().await;
+            }
+            self.line.read_ahead(ahead).await
+        };
+        let mut read = pin!(read);
+        poll_fn(|context| {
+            // The client comes first: guards against an attempt that begins for one that has left.
+            if let Poll::Ready(read) = read.as_mut().poll(context) {
+                return Poll::Ready(Event::Read(read));
+            }
+            self.watch.looked();
+            if let Poll::Ready(done) = head.as_mut().poll(context) {
+                return Poll::Ready(Event::Done(done));
+            }
+            self.pipeline.advance(Some(footprint), context);
+            if self.watch.wants_look() { Poll::Ready(Event::Look) } else { Poll::Pending }
+        })
+        .await
+    }
+
+    /// The end of requests that are abandoned: each that has begun ends by itself, and at once.
+    async fn end_all<T>(&mut self, mut head: Pin<&mut impl Future<Output = T>>) -> T {
+        poll_fn(|context| {
+            let done = head.as_mut().poll(context);
+            self.pipeline.end_begun(context);
+            done
+        })
+        .await
+    }
+
+    /// Whether reading may wait for room: what comes are requests, more than are begun at once, or one that is long.
+    fn may_wait(&self, alone: bool) -> bool {
+        match &self.held {
+            _ if alone => false,
+            None => true,
+            Some(Next::Message(message, _)) => matches!(message, Frontend::LongQuery(..)),
+            Some(Next::Request(_) | Next::Malformed(_)) => false,
+        }
+    }
+
+    /// Takes the requests that have come behind an open one, as far as there is room; all else is held, and so is what
+    /// comes behind it.
+    fn take_behind(&mut self) {
+        while self.held.is_none() && !self.line.inbox.is_empty() && self.has_room() {
+            let message = match pg::decode_frontend(&mut self.line.inbox) {
+                Ok(Some(message)) => message,
+                Ok(None) => return,
+                Err(e) => {
+                    self.held = Some(Next::Malformed(e));
+                    return;
+                }
+            };
+            let came = self.came();
+            self.held = match message {
+                Frontend::Query(text) if !is_empty(&text) && self.is_independent(&text) => {
+                    match self.read_request(text, came, 0) {
+                        Ok(Some(Asked { call, statement, claim: Some(claim), plain: None })) => {
+                            self.begin_behind(call, statement, claim);
+                            None
                         }
-                        self.put_verdict(call.class, verdict);
+                        other => Some(Next::Request(Box::new(other))),
+                    }
+                }
+                other => Some(Next::Message(other, came)),
+            };
+            self.count_taken();
+        }
+    }
+
+    /// Whether one more request may be begun behind the others.
+    fn has_room(&mut self) -> bool {
+        let most = self.all.hosts.most() / PIPELINE_SHARE;
+        self.pipeline.len() + 1 < most && self.line.taken_bytes < MOST_TAKEN_BYTES && self.line.affordable()
+    }
+
+    /// Whether a statement depends on nothing that its session did before. Plain ones do: what a session wrote, and a
+    /// transaction that was refused, count for those behind.
+    fn is_independent(&self, text: &str) -> bool {
+        self.block != Block::Refused && (self.all.statements().is_none() || Statement::is_commented(text))
+    }
+
+    fn begin_behind(&mut self, call: Call, statement: Statement, claim: Claim<'a>) {
+        let (all, watch) = (self.all, self.watch);
+        let (footprint, bytes) = (self.footprint(&call), statement.text().len());
+        let asked = Asked { call, statement, claim: None, plain: None };
+        let serving = Box::pin(async move { serve(all, watch, &asked).await.0 });
+        let progress = Progress::Unanswered { serving, begun: false };
+        self.pipeline.push(Entry { footprint, claim, bytes, progress });
+    }
+
+    /// Counts the memory of what was taken.
+    fn count_taken(&mut self) {
+        self.line.taken_bytes = self.pipeline.held_bytes();
+    }
+
+    fn footprint(&self, call: &Call) -> Footprint {
+        Footprint { class: call.class, group: call.group, writes: self.all.core.writes(call.class) }
+    }
+
+    /// One request of which so many bytes are still to come, up to its answer; false if there was none and the connection has
+    /// to end.
+    async fn long_request(&mut self, beginning: String, came: Micros, mut left: usize) -> io::Result<bool> {
+        if !self.inside(&beginning) {
+            match self.read_request(beginning, came, left) {
+                Ok(Some(asked)) => {
+                    self.line.asked = true;
+                    self.line.flush().await?;
+                    let (answer, told) = self.serve_long(&asked, &mut left).await;
+                    self.told = told;
+                    let footprint = self.footprint(&asked.call);
+                    if !self.answer(answer, footprint, asked.plain.as_ref()).await? {
+                        return Ok(false);
                     }
-                    None => return Ok(false),
                 }
+                other => drop(self.request(other).await?),
             }
-            Ok(None) => pg::put_empty_query(&mut self.line.out),
-            Err(Turned { fields, control }) => {
-                self.block.meets(control);
-                pg::put_error(&mut self.line.out, &fields);
+        }
+        // What is left of one that had its answer before its end.
+        self.line.flush().await?;
+        while left > 0 {
+            match self.line.more().await? {
+                Came::Bytes => left -= self.line.inbox.skip(left),
+                other => return self.line.over(other).await.map(|()| false),
             }
         }
+        Ok(true)
+    }
+
+    async fn serve_long(&mut self, asked: &Asked<'a>, left: &mut usize) -> (Option<Answer>, Told) {
+        if let Some(refused) = self.all.turned_away(&asked.call) {
+            return (Some(Answer::Whole(refused)), None);
+        }
+        let mut life = self.all.life(Client::Reading { line: &mut self.line, left });
+        let answer = life.serve(&asked.call, &asked.statement, asked.plain.as_ref()).await;
+        (answer, life.told)
+    }
+
+    /// Gives a request its answer; false if there is none and the connection has to end.
+    async fn answer(
+        &mut self, answer: Option<Answer>, of: Footprint, plain: Option<&Terms>,
+    ) -> io::Result<bool> {
+        let Some(answer) = answer else { return Ok(false) };
+        if mutants::on("closes unanswered") {
+            return Ok(false);
+        }
+        let Some(verdict) = self.pass_on(answer).await else { return Ok(false) };
+        if let Some(terms) = plain {
+            self.note_plain(terms, &verdict);
+        }
+        let core = &self.all.core;
+        match &verdict {
+            Verdict::Refused { .. } => core.note(|r| r.unserved(of.class, of.group, true)),
+            Verdict::Failed => core.note(|r| r.unserved(of.class, of.group, false)),
+            _ => {}
+        }
+        self.put_verdict(of.class, verdict);
         self.ready();
         Ok(true)
     }
 
-    /// What becomes of a text by the transaction that its session asked for before.
-    fn inside(&mut self, text: &str) -> Met {
-        match self.all.statements().filter(|_| self.block == Block::Refused) {
+    /// Passes on what does not fit into the memory, and works on the requests behind it meanwhile. Nothing if the host
+    /// broke it off.
+    async fn pass_on(&mut self, answer: Answer) -> Option<Verdict> {
+        let (line, hosts) = (&mut self.line, &self.all.hosts);
+        match answer {
+            Answer::Long(long) => {
+                self.pipeline.beside(pass_on_value(line, hosts, long)).await?;
+                Some(Verdict::Passed)
+            }
+            Answer::Stream(stream) => {
+                let told_at = pass_on_plain(line, hosts, stream).await?;
+                // Where a commit was is told at the end.
+                if let (Some((position, _)), Some(at)) = (&mut self.told, told_at) {
+                    *position = Some(at);
+                }
+                Some(Verdict::Passed)
+            }
+            Answer::Whole(verdict) => Some(verdict),
+        }
+    }
+
+    /// Whether a text stands in a transaction that was refused, and has its answer by that.
+    fn inside(&mut self, text: &str) -> bool {
+        let met = match self.all.statements().filter(|_| self.block == Block::Refused) {
             Some(statements) => self.block.meets(statements.control(text)),
             None => Met::Passes,
+        };
+        match met {
+            Met::Passes => return false,
+            Met::Ended => pg::put_complete(&mut self.line.out, "ROLLBACK"),
+            Met::Inside => {
+                let what = "the transaction was refused, and so is all in it, up to COMMIT or ROLLBACK";
+                self.line.error(code::FAILED_TRANSACTION, what);
+            }
         }
+        self.ready();
+        true
     }
 
     fn ready(&mut self) {
@@ -361,7 +664,7 @@
             let what = format!("no group {} in the list of database hosts", statement.group);
             return Err(error(code::UNDEFINED_OBJECT, what));
         }
-        let _claim = match plain {
+        let claim = match plain {
             Some(_) => None,
             None => Some(self.all.admission.claim(&statement.id).ok_or_else(|| {
                 let what = format!("id {:?} is that of another request", statement.id);
@@ -383,7 +686,7 @@
             plain: plain.is_some() || !statement.keyed && core.is_keyed(class),
             expected: plain.as_ref().map_or(0, |p| p.expected),
         };
-        Ok(Some(Asked { call, statement, _claim, plain }))
+        Ok(Some(Asked { call, statement, claim, plain }))
     }
 
     fn put_verdict(&mut self, class: u8, verdict: Verdict) {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -47,7 +47,11 @@
         Clock { started: world::now(), unix: world::unix() }
     }
     pub fn now(&self) -> Micros {
-        (self.unix + world::since(self.started)).as_micros() as Micros
+        self.micros(world::now())
+    }
+    /// A moment as the module counts it.
+    pub fn micros(&self, at: Instant) -> Micros {
+        (self.unix + at.saturating_duration_since(self.started)).as_micros() as Micros
     }
     /// When this time of the module's clock comes.
     pub fn instant(&self, at: Micros) -> Instant {
@@ -319,6 +323,11 @@
         self.keyed.get(usize::from(class)).copied().unwrap_or(false)
     }
 
+    /// Whether a class's requests write.
+    pub fn writes(&self, class: u8) -> bool {
+        self.worths.get(usize::from(class)).is_some_and(|c| c.writes)
+    }
+
     /// Whether the module counts this answer as turned away for its age.
     pub fn is_stale(&self, call: &Call, note: &Report, sent: Micros) -> bool {
         !mutants::on("stale answers pass") && self.settings.is_stale(call.class, call.after, note, sent)
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -268,6 +268,11 @@
         self.open.get()
     }
 
+    /// Connections that may be open.
+    pub fn most(&self) -> usize {
+        self.most.get()
+    }
+
     /// Another process holds so much of the limits, or none does any more.
     pub fn share(&self, other: Option<Held>) {
         self.most.share(self.open.get(), other.map(|o| o.hosts));
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -1,6 +1,6 @@
-//! A request's life, from its ticket to its one final answer: `Life::serve` reads from top to bottom. It owns nothing
-//! beyond that: the connection is its line's, the attempt its host's owner's. It must never choose a host or judge an
-//! outcome: at each point of choice it asks the core.
+//! A request's life, from its ticket to its answer: `Life::serve` reads from top to bottom. It owns nothing beyond that:
+//! the connection is its line's, the attempt its host's owner's, the turn of its answer its session's. It must never choose
+//! a host or judge an outcome: at each point of choice it asks the core.
 
 use super::admission::Admission;
 use super::core::{Call, Core, Ending, Order, Ticket};
@@ -9,11 +9,13 @@
 use super::statements::Terms;
 use super::world;
 use crate::pg::{self, ErrorFields, Row, Statement};
-use crate::{Micros, Outcome};
+use crate::{Micros, Outcome, Report, ServerId};
 use futures_lite::future;
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::rc::Rc;
-use std::time::Duration;
+use std::task::Poll;
+use std::time::{Duration, Instant};
 
 /// The longest wait that is believed of a client.
 const MOST_PATIENCE_MS: u64 = 60_000;
@@ -33,6 +35,101 @@
     Rejected(ErrorFields),
 }
 
+/// What a request ends with, until its turn comes.
+pub enum Answer {
+    Whole(Verdict),
+    /// A row whose value is passed on as its client takes it.
+    Long(Box<LongAnswer>),
+    /// The same of all that a plain statement gives.
+    Stream(Box<PlainAnswer>),
+}
+
+impl Answer {
+    /// The memory that it holds.
+    pub fn held_bytes(&self) -> usize {
+        match self {
+            Answer::Whole(Verdict::Served(row)) => row.value.as_ref().map_or(0, Vec::len),
+            Answer::Whole(Verdict::Plain(bytes)) => bytes.len(),
+            Answer::Whole(Verdict::Rejected(fields)) => fields.whole.len(),
+            Answer::Whole(Verdict::Passed | Verdict::Refused { .. } | Verdict::Failed) => 0,
+            // What has come of them waits at their connections.
+            Answer::Long(_) | Answer::Stream(_) => 0,
+        }
+    }
+}
+
+/// What a session has seen of its client, told to all its open requests. The session works on them in one task, so
+/// that nobody has to be woken.
+#[derive(Default)]
+pub struct ClientWatch {
+    abandoned: Cell<Option<Abandoned>>,
+    /// A request wants the connection looked at once more before it begins another attempt.
+    wants_look: Cell<bool>,
+}
+
+impl ClientWatch {
+    /// From now on nothing more is begun.
+    pub fn abandon(&self, why: Abandoned) {
+        self.abandoned.set(Some(why));
+    }
+
+    /// The connection has been looked at.
+    pub fn looked(&self) {
+        self.wants_look.set(false);
+    }
+
+    /// Whether it is to be looked at again at once.
+    pub fn wants_look(&self) -> bool {
+        self.wants_look.get()
+    }
+
+    /// Returns once the connection has been looked at again.
+    async fn look(&self) {
+        self.wants_look.set(true);
+        let waits = || self.wants_look.get() && self.abandoned.get().is_none();
+        poll_fn(|_| if waits() { Poll::Pending } else { Poll::Ready(()) }).await;
+    }
+
+    /// Returns once nothing more is to be begun.
+    async fn abandoned(&self) -> Abandoned {
+        poll_fn(|_| self.abandoned.get().map_or(Poll::Pending, Poll::Ready)).await
+    }
+}
+
+/// How a request hears of its client.
+pub enum Client<'l, 'a> {
+    /// Its statement is whole, and its session reads on meanwhile.
+    Watched(&'l ClientWatch),
+    /// So many bytes of its statement are still to come, which it reads itself.
+    Reading { line: &'l mut Line<'a>, left: &'l mut usize },
+}
+
+impl Client<'_, '_> {
+    /// How many bytes of the statement are still to come.
+    fn left(&self) -> usize {
+        match self {
+            Client::Watched(_) => 0,
+            Client::Reading { left, .. } => **left,
+        }
+    }
+
+    /// Returns once nothing more is to be begun for the request.
+    async fn abandoned(&mut self) -> Abandoned {
+        match self {
+            Client::Watched(watch) => watch.abandoned().await,
+            // What is still to come of a long statement stays where it is until a host is chosen.
+            Client::Reading { line, left } => line.abandoned(**left == 0).await,
+        }
+    }
+
+    /// The client comes first: guards against another attempt that begins for one that has left.
+    async fn look(&self) {
+        if let Client::Watched(watch) = self {
+            watch.look().await;
+        }
+    }
+}
+
 /// Why a long statement did not get to a host.
 enum Upload {
     /// The outcome that the lack of a connection amounts to; nothing has run.
@@ -50,7 +147,7 @@
 
 /// One request, while it is served.
 pub struct Life<'l, 'a> {
-    pub line: &'l mut Line<'a>,
+    pub client: Client<'l, 'a>,
     pub core: &'l Rc<Core>,
     pub hosts: &'l Rc<Hosts>,
     pub admission: &'l Rc<Admission>,
@@ -59,84 +156,81 @@
     pub told: Option<(Option<Micros>, Duration)>,
 }
 
+/// One attempt, as the module orders it.
+struct Attempt {
+    server: ServerId,
+    number: u8,
+    until: Micros,
+    begin_by: Micros,
+    /// When it began, for what the module hears of its host.
+    begun: Instant,
+    begun_at: Micros,
+}
+
+/// What ended an attempt.
+enum Happened {
+    Ended(Attempted),
+    Ordered(Order),
+    Uploaded(Result<Opened, Upload>),
+    Abandoned(Abandoned),
+}
+
+/// What follows on the end of an attempt.
+enum Next {
+    /// The end of the request.
+    Done(Option<Answer>),
+    /// The module's next order, where it has come already.
+    Order(Option<Order>),
+}
+
 impl Life<'_, '_> {
-    /// The life of one request, of which so many bytes are still to come. Nothing if its client left before
-    /// it was answered, or can no longer be answered in order.
+    /// The life of one request. Nothing if its client left before it was answered, or can no longer be answered in order.
     pub async fn serve(
-        &mut self, call: &Call, statement: &Statement, plain: Option<&Terms>, left: &mut usize,
-    ) -> Option<Verdict> {
-        enum Happened {
-            Ended(Attempted),
-            Ordered(Order),
-            Uploaded(Result<Opened, Upload>),
-            Abandoned(Abandoned),
-        }
-        let (core, hosts, admission) = (self.core.clone(), self.hosts.clone(), self.admission.clone());
+        &mut self, call: &Call, statement: &Statement, plain: Option<&Terms>,
+    ) -> Option<Answer> {
+        let (core, hosts) = (self.core.clone(), self.hosts.clone());
         let writes = plain.is_some_and(|p| p.writes);
-        let ticket = core.open(call, *left > 0);
+        let ticket = core.open(call, self.client.left() > 0);
         // Whether any attempt was written whole: only what was not is harmless to try again.
         let sent_on = Cell::new(false);
         let written = || {
             sent_on.set(true);
             core.count(call.class, |c| &mut c.backend_calls);
         };
-        // The answer to a request that is abandoned: none to a client that has left.
-        let last = |why| match why {
-            Abandoned::ClientGone => None,
-            Abandoned::CutOff if sent_on.get() => Some(Verdict::Failed),
-            Abandoned::CutOff => Some(Verdict::Refused { retry_in: core.retry_in }),
-        };
         let mut order = None;
         loop {
-            // The client comes first: guards against an attempt that begins for one that has left. What is still to
-            // come of a long statement stays where it is until a host is chosen.
-            let abandoned = async { Err(self.line.abandoned(*left == 0).await) };
-            let ordered = async {
-                match order.take() {
-                    Some(order) => Ok(order),
-                    None => Ok(ticket.order().await),
-                }
-            };
-            let next = match future::or(abandoned, ordered).await {
+            let next = match self.next_order(&ticket, order.take()).await {
                 Ok(order) => order,
                 Err(why) => {
                     ticket.abandoned();
-                    return last(why);
+                    return self.last_answer(why, sent_on.get());
                 }
             };
             let (server, number, until, begin_by) = match next {
                 Order::Attempt { server, number, until, begin_by } => (server, number, until, begin_by),
-                Order::Refuse { retry_in } => return Some(Verdict::Refused { retry_in }),
-                Order::Fail => return Some(Verdict::Failed),
+                Order::Refuse { retry_in } => return whole(Verdict::Refused { retry_in }),
+                Order::Fail => return whole(Verdict::Failed),
                 // The attempt ended on its own just before.
                 Order::Withdraw => continue,
             };
             let heard = Cell::default();
-            let (mut sent, coming, sent_at) = (world::now(), *left, core.clock.now());
+            let (begun, begun_at) = (world::now(), core.clock.now());
+            let mut attempt = Attempt { server, number, until, begin_by, begun, begun_at };
+            let coming = self.client.left();
             // Whichever comes first; the others are dropped here, and with an attempt its connection:
             // it is closed before the module hears of it, so that no second copy can be out.
             let mut happened = if coming > 0 {
-                let upload = async {
-                    let opened = hosts.open(server, until, begin_by).await.map_err(Upload::NoConnection)?;
-                    self.upload(opened, statement, left).await
-                };
-                let upload = async { Happened::Uploaded(upload.await) };
-                let ordered = async { Happened::Ordered(ticket.order().await) };
-                let cut_off = async {
-                    admission.until_cut_off().await;
-                    Happened::Abandoned(Abandoned::CutOff)
-                };
-                future::or(upload, future::or(ordered, cut_off)).await
+                self.upload(&attempt, &ticket, statement).await
             } else {
                 let attempt = hosts.attempt(server, statement, writes, (until, begin_by), written, &heard);
                 let attempt = async { Happened::Ended(attempt.await) };
-                self.beside(attempt, &ticket, Happened::Ordered, Happened::Abandoned).await
+                self.beside(attempt, &ticket).await
             };
             // What was passed on in pieces is not here any more for another attempt.
-            let once = *left < coming;
+            let once = self.client.left() < coming;
             if once {
                 // The client's pace says nothing of the host's.
-                sent = world::now();
+                attempt.begun = world::now();
             }
             if let Happened::Uploaded(Ok(opened)) = happened {
                 // Its last byte is here: its time begins.
@@ -144,142 +238,202 @@
                 written();
                 ticket.whole(give_up_at);
                 let answer = async { Happened::Ended(hosts.answer(opened, give_up_at, &heard).await) };
-                happened = self.beside(answer, &ticket, Happened::Ordered, Happened::Abandoned).await;
+                happened = self.beside(answer, &ticket).await;
             }
-            let ended = |outcome, note| {
-                ticket.ended(Ending { server, number, outcome, latency: world::since(sent), note });
-            };
-            match happened {
-                Happened::Ended(Attempted { outcome, note, rejected: Some(e), .. }) => {
-                    ticket.answered();
-                    ended(outcome, note);
-                    return Some(Verdict::Rejected(e));
-                }
-                Happened::Ended(Attempted { outcome, note, long: Some(long), .. }) => {
-                    // The host has done its work: a slow reader must not look like a slow host.
-                    ended(outcome, note);
-                    return self.pass_on(long).await;
-                }
-                Happened::Ended(Attempted { outcome, note, stream: Some(stream), .. }) => {
-                    // As with a long row: the host has begun, and the rest is as fast as its reader.
-                    self.told = Some((note.position, world::since(sent)));
-                    ended(outcome, note);
-                    return self.pass_on_plain(stream).await;
-                }
-                Happened::Ended(Attempted { outcome, note, plain: Some(bytes), .. }) => {
-                    self.told = Some((note.position, world::since(sent)));
-                    ended(outcome, note);
-                    return Some(Verdict::Plain(bytes));
-                }
-                Happened::Ended(Attempted { note, row: Some(_), .. })
-                    if !once && core.is_stale(call, &note, sent_at) =>
-                {
-                    // As if the host had turned it away.
-                    ended(Outcome::Miss, note);
-                }
-                Happened::Ended(Attempted { outcome, note, row, .. }) => {
-                    if once {
-                        ticket.answered();
-                    }
-                    ended(outcome, note);
-                    match row {
-                        Some(row) => return Some(Verdict::Served(row)),
-                        None if once && outcome.never_ran() => {
-                            return Some(Verdict::Refused { retry_in: core.retry_in });
-                        }
-                        None if once => return Some(Verdict::Failed),
-                        None => {}
-                    }
-                }
+            let stale = |note: &Report| !once && core.is_stale(call, note, attempt.begun_at);
+            let next = match happened {
+                Happened::Ended(attempted) => self.take_in(attempted, &attempt, &ticket, once, stale),
                 Happened::Uploaded(Err(Upload::NoConnection(outcome))) => {
                     if once {
                         ticket.answered();
                     }
-                    ended(outcome, Default::default());
-                    if once {
-                        return Some(Verdict::Refused { retry_in: core.retry_in });
-                    }
+                    attempt.ended(&ticket, outcome, Report::default());
+                    let refused = || whole(Verdict::Refused { retry_in: core.retry_in });
+                    if once { Next::Done(refused()) } else { Next::Order(None) }
                 }
                 Happened::Ordered(other) => {
-                    ended(Outcome::Cancelled, heard.get());
-                    order = Some(other);
+                    attempt.ended(&ticket, Outcome::Cancelled, heard.get());
+                    Next::Order(Some(other))
                 }
                 Happened::Uploaded(_) => {
                     ticket.abandoned();
-                    ended(Outcome::Cancelled, Default::default());
-                    return None;
+                    attempt.ended(&ticket, Outcome::Cancelled, Report::default());
+                    Next::Done(None)
                 }
                 Happened::Abandoned(why) => {
                     ticket.abandoned();
-                    ended(Outcome::Cancelled, heard.get());
-                    return last(why);
+                    attempt.ended(&ticket, Outcome::Cancelled, heard.get());
+                    Next::Done(self.last_answer(why, sent_on.get()))
                 }
+            };
+            match next {
+                Next::Done(answer) => return answer,
+                Next::Order(next) => order = next,
+            }
+            self.client.look().await;
+        }
+    }
+
+    /// The module's next order, or why none is followed any more.
+    async fn next_order(&mut self, ticket: &Ticket<'_>, had: Option<Order>) -> Result<Order, Abandoned> {
+        let abandoned = async { Err(self.client.abandoned().await) };
+        let ordered = async {
+            match had {
+                Some(order) => Ok(order),
+                None => Ok(ticket.order().await),
             }
+        };
+        future::or(abandoned, ordered).await
+    }
+
+    /// The answer to a request that is abandoned: none to a client that has left.
+    fn last_answer(&self, why: Abandoned, sent_on: bool) -> Option<Answer> {
+        match why {
+            Abandoned::ClientGone => None,
+            Abandoned::CutOff if sent_on => whole(Verdict::Failed),
+            Abandoned::CutOff => whole(Verdict::Refused { retry_in: self.core.retry_in }),
+        }
+    }
+
+    /// Takes in what came of an attempt, which cannot be made again where it is made `once`; `stale` says whether its row
+    /// is too old.
+    fn take_in(
+        &mut self, attempted: Attempted, attempt: &Attempt, ticket: &Ticket<'_>, once: bool,
+        stale: impl FnOnce(&Report) -> bool,
+    ) -> Next {
+        let Attempted { outcome, note, row, rejected, long, plain, stream } = attempted;
+        if let Some(e) = rejected {
+            ticket.answered();
+            attempt.ended(ticket, outcome, note);
+            return Next::Done(whole(Verdict::Rejected(e)));
+        }
+        if let Some(long) = long {
+            // The host has done its work: a slow reader must not look like a slow host.
+            attempt.ended(ticket, outcome, note);
+            return Next::Done(Some(Answer::Long(long)));
+        }
+        if let Some(stream) = stream {
+            // As with a long row: the host has begun, and the rest is as fast as its reader.
+            self.told = Some((note.position, world::since(attempt.begun)));
+            attempt.ended(ticket, outcome, note);
+            return Next::Done(Some(Answer::Stream(stream)));
+        }
+        if let Some(bytes) = plain {
+            self.told = Some((note.position, world::since(attempt.begun)));
+            attempt.ended(ticket, outcome, note);
+            return Next::Done(whole(Verdict::Plain(bytes)));
+        }
+        if row.is_some() && stale(&note) {
+            // As if the host had turned it away.
+            attempt.ended(ticket, Outcome::Miss, note);
+            return Next::Order(None);
+        }
+        if once {
+            ticket.answered();
+        }
+        attempt.ended(ticket, outcome, note);
+        match row {
+            Some(row) => Next::Done(whole(Verdict::Served(row))),
+            None if once && outcome.never_ran() => {
+                Next::Done(whole(Verdict::Refused { retry_in: self.core.retry_in }))
+            }
+            None if once => Next::Done(whole(Verdict::Failed)),
+            None => Next::Order(None),
         }
     }
 
     /// The work, unless the module orders something else before, the client leaves, or the stop's time is over. An answer
     /// that is here comes first, for what it tells of its server; whether another attempt begins is looked at behind it.
-    async fn beside<T>(
-        &mut self, work: impl Future<Output = T>, ticket: &Ticket<'_>, ordered: impl FnOnce(Order) -> T,
-        abandoned: impl FnOnce(Abandoned) -> T,
-    ) -> T {
-        let ordered = async { ordered(ticket.order().await) };
-        let abandoned = async { abandoned(self.line.abandoned(true).await) };
+    async fn beside(&mut self, work: impl Future<Output = Happened>, ticket: &Ticket<'_>) -> Happened {
+        let ordered = async { Happened::Ordered(ticket.order().await) };
+        let abandoned = async { Happened::Abandoned(self.client.abandoned().await) };
         future::or(work, future::or(ordered, abandoned)).await
     }
 
-    /// Passes on a long statement as its client writes it, up to its last byte.
-    async fn upload(
-        &mut self, mut opened: Opened, statement: &Statement, left: &mut usize,
-    ) -> Result<Opened, Upload> {
-        let broken = |_| Upload::NoConnection(Outcome::ConnectFailed);
-        if self.line.is_hung_up() {
-            return Err(Upload::BrokenOff);
-        }
-        let mut piece = Vec::new();
-        pg::put_long_query(&mut piece, statement.text(), *left);
-        opened.write(&piece).await.map_err(broken)?;
-        while *left > 0 {
-            match self.line.more().await {
-                Ok(Came::Bytes) => {}
-                Ok(why) => {
-                    // It hears so; the connection ends in either case.
-                    let _ = self.line.over(why).await;
-                    return Err(Upload::BrokenOff);
-                }
-                Err(_) => return Err(Upload::BrokenOff),
+    /// Passes on a long statement, unless the module orders something else before, or the stop's time is over.
+    async fn upload(&mut self, attempt: &Attempt, ticket: &Ticket<'_>, statement: &Statement) -> Happened {
+        let (hosts, admission) = (self.hosts, self.admission);
+        let upload = async {
+            let opened = hosts.open(attempt.server, attempt.until, attempt.begin_by).await;
+            let opened = opened.map_err(Upload::NoConnection)?;
+            match &mut self.client {
+                Client::Reading { line, left } => pass_on_statement(line, opened, statement, left).await,
+                // It is whole already.
+                Client::Watched(_) => Ok(opened),
             }
-            piece.clear();
-            *left -= self.line.inbox.move_to(&mut piece, *left);
-            opened.write(&piece).await.map_err(broken)?;
-        }
-        Ok(opened)
+        };
+        let upload = async { Happened::Uploaded(upload.await) };
+        let ordered = async { Happened::Ordered(ticket.order().await) };
+        let cut_off = async {
+            admission.until_cut_off().await;
+            Happened::Abandoned(Abandoned::CutOff)
+        };
+        future::or(upload, future::or(ordered, cut_off)).await
     }
+}
 
-    /// Passes on a value as fast as its client takes it. Nothing if the host breaks it off: only the end
-    /// of the connection tells the client so.
-    async fn pass_on(&mut self, mut long: Box<LongAnswer>) -> Option<Verdict> {
-        pg::put_long_row(&mut self.line.out, &long.column, long.value);
-        while long.piece(&mut self.line.out).await.ok()? > 0 {
-            self.line.flush().await.ok()?;
-        }
-        pg::put_complete(&mut self.line.out, &self.hosts.finish(long).await?);
-        Some(Verdict::Passed)
+fn whole(verdict: Verdict) -> Option<Answer> {
+    Some(Answer::Whole(verdict))
+}
+
+impl Attempt {
+    /// It has ended: the module hears how.
+    fn ended(&self, ticket: &Ticket<'_>, outcome: Outcome, note: Report) {
+        let latency = world::since(self.begun);
+        ticket.ended(Ending { server: self.server, number: self.number, outcome, latency, note });
     }
+}
 
-    /// Passes on the answer to a plain statement as fast as its client takes it. Nothing if the host breaks it off.
-    async fn pass_on_plain(&mut self, mut answer: Box<PlainAnswer>) -> Option<Verdict> {
-        self.line.out.append(&mut answer.beginning);
-        self.line.flush().await.ok()?;
-        while answer.piece(&mut self.line.out).await.ok()? {
-            self.line.flush().await.ok()?;
-        }
-        // Where a commit was is told at the end.
-        if let (Some((position, _)), Some(at)) = (&mut self.told, answer.note.position) {
-            *position = Some(at);
+/// Passes on a long statement as its client writes it, up to its last byte.
+async fn pass_on_statement(
+    line: &mut Line<'_>, mut opened: Opened, statement: &Statement, left: &mut usize,
+) -> Result<Opened, Upload> {
+    let broken = |_| Upload::NoConnection(Outcome::ConnectFailed);
+    if line.is_hung_up() {
+        return Err(Upload::BrokenOff);
+    }
+    let mut piece = Vec::new();
+    pg::put_long_query(&mut piece, statement.text(), *left);
+    opened.write(&piece).await.map_err(broken)?;
+    while *left > 0 {
+        match line.more().await {
+            Ok(Came::Bytes) => {}
+            Ok(why) => {
+                // It hears so; the connection ends in either case.
+                let _ = line.over(why).await;
+                return Err(Upload::BrokenOff);
+            }
+            Err(_) => return Err(Upload::BrokenOff),
         }
-        self.hosts.give_back_plain(*answer);
-        Some(Verdict::Passed)
+        piece.clear();
+        *left -= line.inbox.move_to(&mut piece, *left);
+        opened.write(&piece).await.map_err(broken)?;
+    }
+    Ok(opened)
+}
+
+/// Passes on a value as fast as its client takes it. Nothing if the host breaks it off: only the end of the connection
+/// tells the client so.
+pub async fn pass_on_value(line: &mut Line<'_>, hosts: &Hosts, mut long: Box<LongAnswer>) -> Option<()> {
+    pg::put_long_row(&mut line.out, &long.column, long.value);
+    while long.piece(&mut line.out).await.ok()? > 0 {
+        line.flush().await.ok()?;
+    }
+    pg::put_complete(&mut line.out, &hosts.finish(long).await?);
+    Some(())
+}
+
+/// Passes on the answer to a plain statement as fast as its client takes it: what it tells of its commit. Nothing if the
+/// host breaks it off.
+pub async fn pass_on_plain(
+    line: &mut Line<'_>, hosts: &Hosts, mut answer: Box<PlainAnswer>,
+) -> Option<Option<Micros>> {
+    line.out.append(&mut answer.beginning);
+    line.flush().await.ok()?;
+    while answer.piece(&mut line.out).await.ok()? {
+        line.flush().await.ok()?;
     }
+    let position = answer.note.position;
+    hosts.give_back_plain(*answer);
+    Some(position)
 }
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -11,6 +11,7 @@
 use crate::pg::{self, ErrorFields, Inbox, code};
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
+use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -28,6 +29,8 @@
 const LONGEST_FAREWELL: Duration = Duration::from_secs(3);
 /// What a client may have sent behind a request that is open.
 const MOST_AHEAD: usize = 1 << 20;
+/// The most arrivals that are told apart of what is read ahead; those beyond count as the last of them.
+const MOST_ARRIVALS: usize = 64;
 /// Where nothing is read, the machine is asked this often whether the client has left.
 const LOOK: Duration = Duration::from_millis(50);
 /// A connection that never asked anything is given this long when all are closed: what the client
@@ -56,18 +59,46 @@
 /// Why nothing more is begun for a request that is open.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Abandoned {
-    /// Its client has closed the connection.
+    /// Its client has closed the connection, or takes no answers from it.
     ClientGone,
     /// The time of the stop is over: it gets its last answer now.
     CutOff,
 }
 
+/// What came of reading behind a request that is open.
+pub enum ReadAhead {
+    Bytes,
+    Abandoned(Abandoned),
+}
+
+/// How much is read behind a request that is open.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Ahead {
+    /// What is within the bounds, and then nothing until there is room.
+    Bounded,
+    /// What is within the bounds; the rest is passed over, and the session ends behind its answers.
+    PassingOver,
+}
+
+/// Bytes that came behind a request that is open.
+struct Arrival {
+    /// The number of bytes that had come by then.
+    upto: u64,
+    at: Instant,
+}
+
 /// One client's connection.
 pub struct Line<'a> {
     all: &'a Rc<Admission>,
     stream: Stream,
     begun: Instant,
     pub inbox: Inbox,
+    /// How many bytes have come.
+    received: u64,
+    /// When those came that were read behind an open request.
+    arrivals: VecDeque<Arrival>,
+    /// The memory of requests that were taken and not answered yet.
+    pub taken_bytes: usize,
     share: Share,
     pub out: Vec<u8>,
     /// A whole message of the session has come.
@@ -93,6 +124,9 @@
             stream,
             begun: world::now(),
             inbox: Inbox::default(),
+            received: 0,
+            arrivals: VecDeque::new(),
+            taken_bytes: 0,
             share: all.bytes(),
             out: Vec::new(),
             spoken: false,
@@ -111,7 +145,11 @@
             return Ok(Came::Bytes);
         }
         match by(world::now() + PROMPT, read(&self.stream, &mut self.inbox)).await {
-            Some(Ok(1..)) => Ok(Came::Bytes),
+            Some(Ok(n @ 1..)) => {
+                self.received += n as u64;
+                self.heard = world::now();
+                Ok(Came::Bytes)
+            }
             Some(Ok(_)) => Ok(Came::End),
             Some(Err(e)) => Err(e),
             None => Ok(Came::TooSlow),
@@ -138,25 +176,42 @@
         }
     }
 
+    /// Writes what is due. Where requests are open behind it, it also fails once the client has closed the connection, so
+    /// that they end with it.
     pub async fn flush(&mut self) -> io::Result<()> {
         let mut written = 0;
         while written < self.out.len() {
-            let part = by(world::now() + STUCK, self.stream.write(&self.out[written..])).await;
-            match part.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))? {
-                0 => return Err(io::ErrorKind::WriteZero.into()),
-                n => written += n,
-            }
+            let gone = async {
+                self.hung_up().await;
+                Err(io::ErrorKind::ConnectionAborted.into())
+            };
+            written += match self.taken_bytes {
+                0 => self.write_part(written).await?,
+                _ => future::or(self.write_part(written), gone).await?,
+            };
         }
         self.out.clear();
         self.out.shrink_to(OWN_BYTES);
         Ok(())
     }
 
+    /// Writes a part of what is due.
+    async fn write_part(&self, from: usize) -> io::Result<usize> {
+        let part = by(world::now() + STUCK, self.stream.write(&self.out[from..])).await;
+        match part.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))? {
+            0 => Err(io::ErrorKind::WriteZero.into()),
+            n => Ok(n),
+        }
+    }
+
     /// Writes what is due, then waits for more, for as long as the client may take.
     pub async fn flush_and_read(&mut self) -> io::Result<Came> {
         self.flush().await?;
         let now = world::now();
         let resting = self.inbox.is_empty();
+        if resting && !self.arrivals.is_empty() {
+            self.arrivals = VecDeque::new();
+        }
         if resting && self.asked && self.all.answered_last() && self.nothing_came() {
             return Ok(Came::End);
         }
@@ -217,7 +272,10 @@
         self.heard = world::now();
         self.evicted = evicted;
         match read {
-            Some(Ok(n)) if n > 0 => Ok(if self.affordable() { Came::Bytes } else { Came::TooMuch }),
+            Some(Ok(n)) if n > 0 => {
+                self.received += n as u64;
+                Ok(if self.affordable() { Came::Bytes } else { Came::TooMuch })
+            }
             Some(Err(e)) => Err(e),
             None if !resting => Ok(Came::TooSlow),
             _ => Ok(Came::End),
@@ -231,48 +289,104 @@
 
     /// Whether what this client has sent, beside what all others have, fits into the memory.
     pub fn affordable(&mut self) -> bool {
-        self.share.set(self.inbox.held().saturating_sub(OWN_BYTES));
+        self.share.set((self.inbox.held() + self.taken_bytes).saturating_sub(OWN_BYTES));
         self.share.is_empty() || self.all.fits()
     }
 
+    /// When the last byte came of the message that was decoded last.
+    pub fn came(&mut self) -> Instant {
+        let end = self.received - self.inbox.len() as u64;
+        while self.arrivals.front().is_some_and(|a| a.upto < end) {
+            self.arrivals.pop_front();
+        }
+        self.arrivals.front().map_or(self.heard, |a| a.at)
+    }
+
     /// Returns once nothing more is to be begun for the request that is open. Where it `reads`, what the client sends
     /// meanwhile is kept, up to `MOST_AHEAD` and what all may have sent; beyond that it is passed over, and the session ends
     /// behind the answer: a client's end shows only to whoever reads up to it.
     pub async fn abandoned(&mut self, reads: bool) -> Abandoned {
+        if !reads {
+            let cut_off = async {
+                self.all.until_cut_off().await;
+                Abandoned::CutOff
+            };
+            let gone = async {
+                self.hung_up().await;
+                Abandoned::ClientGone
+            };
+            return future::or(gone, cut_off).await;
+        }
+        loop {
+            if let ReadAhead::Abandoned(why) = self.read_ahead(Ahead::PassingOver).await {
+                return why;
+            }
+            // Others have their turn while much comes.
+            future::yield_now().await;
+        }
+    }
+
+    /// Reads what the client sends behind a request that is open, or returns why nothing more is to be begun for it.
+    pub async fn read_ahead(&mut self, ahead: Ahead) -> ReadAhead {
         let all = self.all;
         let cut_off = async {
             all.until_cut_off().await;
-            Abandoned::CutOff
+            ReadAhead::Abandoned(Abandoned::CutOff)
         };
-        let gone = async {
-            self.gone(reads).await;
-            Abandoned::ClientGone
+        let read = async {
+            if self.receive(ahead).await {
+                ReadAhead::Bytes
+            } else {
+                ReadAhead::Abandoned(Abandoned::ClientGone)
+            }
         };
-        future::or(gone, cut_off).await
+        future::or(read, cut_off).await
     }
 
-    /// Returns once the client has closed its connection.
-    async fn gone(&mut self, reads: bool) {
+    /// Waits for bytes behind a request that is open; false once the client has closed its connection.
+    async fn receive(&mut self, ahead: Ahead) -> bool {
         if mutants::on("departures are not seen") {
             return future::pending().await;
         }
-        if !reads {
-            while !self.is_hung_up() {
-                world::after(LOOK).await;
-            }
-            return;
+        let too_much = self.inbox.len() > MOST_AHEAD || !self.affordable();
+        if too_much && ahead == Ahead::Bounded && !self.overrun {
+            self.hung_up().await;
+            return false;
         }
-        loop {
-            self.overrun |= self.inbox.len() > MOST_AHEAD || !self.affordable();
-            let read = match self.overrun {
-                true => self.stream.read_with(|_| ()).await,
-                false => read(&self.stream, &mut self.inbox).await,
-            };
-            if !matches!(read, Ok(1..)) {
-                return;
+        self.overrun |= too_much;
+        let read = match self.overrun {
+            true => self.stream.read_with(|_| ()).await,
+            false => {
+                let read = read(&self.stream, &mut self.inbox).await;
+                if let Ok(n) = read {
+                    self.arrived(n);
+                }
+                read
             }
-            // Others have their turn while much comes.
-            future::yield_now().await;
+        };
+        matches!(read, Ok(1..))
+    }
+
+    /// Keeps when these bytes came, which were read behind an open request.
+    fn arrived(&mut self, count: usize) {
+        if self.arrivals.is_empty() && self.inbox.len() > count {
+            self.arrivals.push_back(Arrival { upto: self.received, at: self.heard });
+        }
+        self.received += count as u64;
+        let many = self.arrivals.len() >= MOST_ARRIVALS;
+        match self.arrivals.back_mut() {
+            Some(last) if many => last.upto = self.received,
+            _ => self.arrivals.push_back(Arrival { upto: self.received, at: world::now() }),
+        }
+    }
+
+    /// Returns once the client has closed its connection, of which nothing is read.
+    async fn hung_up(&self) {
+        if mutants::on("departures are not seen") {
+            return future::pending().await;
+        }
+        while !self.is_hung_up() {
+            world::after(LOOK).await;
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,9 @@
-//! Everything that touches sockets, in sixteen parts, each of which knows only those before it: `world` is the
+//! Everything that touches sockets, in seventeen parts, each of which knows only those before it: `world` is the
 //! door to the machine, `backoff` the waits between tries, `listing` the list as a message; `core` owns the decision
 //! module, time and the figures; `capture` the record of load, `hosts` the connections to database hosts,
 //! `discovery` the watch of the list, `peers` the talk with other proxies, `statements` the desk for plain statements, `admission` clients'
-//! places, `line` their connections, `life` a request's life, `client` their sessions, `upgrade` what two processes share, `console` the operators' door, `proxy` all of them.
+//! places, `line` their connections, `life` a request's life, `pipeline` the requests of a connection behind one another,
+//! `client` their sessions, `upgrade` what two processes share, `console` the operators' door, `proxy` all of them.
 //! This file holds only what they share; it must never decide nor keep state beyond a moment.
 
 #![warn(clippy::disallowed_methods)]
@@ -19,6 +20,7 @@
 pub mod line;
 pub mod listing;
 pub mod peers;
+pub mod pipeline;
 pub mod proxy;
 pub mod statements;
 pub mod upgrade;
