--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -184,28 +184,12 @@
 /// What the answer to a plain statement told of its commit, and how long it took.
 type Told = Option<(Option<Micros>, Duration)>;
 
-/// Serves one whole request, up to its answer. Nothing if its client left before.
-async fn serve(all: &Rc<Clients>, watch: &ClientWatch, asked: &Asked<'_>) -> (Option<Answer>, Told) {
-    if let Some(refused) = all.turned_away(&asked.call) {
-        return (Some(Answer::Whole(refused)), None);
-    }
-    let mut life = all.life(Client::Watched(watch));
-    let answer = life.serve(&asked.call, &asked.statement, asked.plain.as_ref()).await;
-    (answer, life.told)
-}
-
 impl Clients {
     /// A request's life, as it begins.
     fn life<'l, 'a>(&'l self, client: Client<'l, 'a>) -> Life<'l, 'a> {
         let Clients { core, hosts, admission, way_back, .. } = self;
         Life { client, core, hosts, admission, way_back: *way_back, told: None }
     }
-
-    /// The verdict on a request that does not come in: at the door, before it could wait for anything.
-    fn turned_away(&self, call: &Call) -> Option<Verdict> {
-        let comes_in = !self.admission.is_cut_off() && self.core.lets_in(call);
-        (!comes_in).then_some(Verdict::Refused { retry_in: self.core.retry_in })
-    }
 }
 
 impl<'a> Session<'a> {
@@ -338,8 +322,15 @@
         // The answers to commands before this one do not wait for its own.
         self.line.flush().await?;
         let footprint = self.footprint(&asked.call);
-        let (answer, told) = self.drive(serve(self.all, self.watch, &asked), footprint, &asked.plain).await;
-        self.told = told;
+        let answer = {
+            let mut life = self.all.life(Client::Watched(self.watch));
+            let answer = {
+                let served = pin!(life.serve(&asked.call, &asked.statement, asked.plain.as_ref()));
+                self.drive(served, footprint, asked.plain.is_some()).await
+            };
+            self.told = life.told;
+            answer
+        };
         if !self.answer(answer, footprint, asked.plain.as_ref()).await? {
             return Ok(false);
         }
@@ -357,9 +348,9 @@
         let Entry { footprint, claim, progress, .. } = entry;
         let answer = match progress {
             Progress::Answered(answer) => answer,
-            Progress::Unanswered { serving, .. } => {
+            Progress::Unanswered { mut serving, .. } => {
                 self.flush().await?;
-                self.drive(serving, footprint, &None).await
+                self.drive(serving.as_mut(), footprint, false).await
             }
         };
         let answered = self.answer(answer, footprint, None).await;
@@ -373,13 +364,11 @@
         self.pipeline.beside(self.line.flush()).await
     }
 
-    /// Works on the request whose turn it is, and on those behind it, which are read and begun meanwhile; behind a plain
-    /// statement nothing is begun.
+    /// Works on the request whose turn it is, and on those behind it, which are read and begun meanwhile, unless it has to be
+    /// `alone`.
     async fn drive<T>(
-        &mut self, head: impl Future<Output = T>, footprint: Footprint, plain: &Option<Terms>,
+        &mut self, mut head: Pin<&mut (impl Future<Output = T> + ?Sized)>, footprint: Footprint, alone: bool,
     ) -> T {
-        let mut head = pin!(head);
-        let alone = plain.is_some();
         let mut much_comes = false;
         loop {
             if !alone {
@@ -400,8 +389,8 @@
 
     /// The next event while the request `head` is open.
     async fn next_event<T>(
-        &mut self, mut head: Pin<&mut impl Future<Output = T>>, footprint: &Footprint, ahead: Ahead,
-        much_comes: bool,
+        &mut self, mut head: Pin<&mut (impl Future<Output = T> + ?Sized)>, footprint: &Footprint,
+        ahead: Ahead, much_comes: bool,
     ) -> Event<T> {
         let read = async {
             if much_comes {
@@ -427,7 +416,7 @@
     }
 
     /// The end of requests that are abandoned: each that has begun ends by itself, and at once.
-    async fn end_all<T>(&mut self, mut head: Pin<&mut impl Future<Output = T>>) -> T {
+    async fn end_all<T>(&mut self, mut head: Pin<&mut (impl Future<Output = T> + ?Sized)>) -> T {
         poll_fn(|context| {
             let done = head.as_mut().poll(context);
             self.pipeline.end_begun(context);
@@ -490,8 +479,8 @@
     fn begin_behind(&mut self, call: Call, statement: Statement, claim: Claim<'a>) {
         let (all, watch) = (self.all, self.watch);
         let (footprint, bytes) = (self.footprint(&call), statement.text().len());
-        let asked = Asked { call, statement, claim: None, plain: None };
-        let serving = Box::pin(async move { serve(all, watch, &asked).await.0 });
+        let serving =
+            Box::pin(async move { all.life(Client::Watched(watch)).serve(&call, &statement, None).await });
         let progress = Progress::Unanswered { serving, begun: false };
         self.pipeline.push(Entry { footprint, claim, bytes, progress });
     }
@@ -513,8 +502,10 @@
                 Ok(Some(asked)) => {
                     self.line.asked = true;
                     self.line.flush().await?;
-                    let (answer, told) = self.serve_long(&asked, &mut left).await;
-                    self.told = told;
+                    let client = Client::Reading { line: &mut self.line, left: &mut left };
+                    let mut life = self.all.life(client);
+                    let answer = life.serve(&asked.call, &asked.statement, asked.plain.as_ref()).await;
+                    self.told = life.told;
                     let footprint = self.footprint(&asked.call);
                     if !self.answer(answer, footprint, asked.plain.as_ref()).await? {
                         return Ok(false);
@@ -534,15 +525,6 @@
         Ok(true)
     }
 
-    async fn serve_long(&mut self, asked: &Asked<'a>, left: &mut usize) -> (Option<Answer>, Told) {
-        if let Some(refused) = self.all.turned_away(&asked.call) {
-            return (Some(Answer::Whole(refused)), None);
-        }
-        let mut life = self.all.life(Client::Reading { line: &mut self.line, left });
-        let answer = life.serve(&asked.call, &asked.statement, asked.plain.as_ref()).await;
-        (answer, life.told)
-    }
-
     /// Gives a request its answer; false if there is none and the connection has to end.
     async fn answer(
         &mut self, answer: Option<Answer>, of: Footprint, plain: Option<&Terms>,
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -13,6 +13,7 @@
 use futures_lite::future;
 use std::cell::Cell;
 use std::future::poll_fn;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
@@ -188,7 +189,11 @@
     pub async fn serve(
         &mut self, call: &Call, statement: &Statement, plain: Option<&Terms>,
     ) -> Option<Answer> {
-        let (core, hosts) = (self.core.clone(), self.hosts.clone());
+        let (core, hosts) = (self.core, self.hosts);
+        // At the door, before it could wait for anything.
+        if self.admission.is_cut_off() || !core.lets_in(call) {
+            return whole(Verdict::Refused { retry_in: core.retry_in });
+        }
         let writes = plain.is_some_and(|p| p.writes);
         let ticket = core.open(call, self.client.left() > 0);
         // Whether any attempt was written whole: only what was not is harmless to try again.
@@ -222,8 +227,8 @@
             let mut happened = if coming > 0 {
                 self.upload(&attempt, &ticket, statement).await
             } else {
-                let attempt = hosts.attempt(server, statement, writes, (until, begin_by), written, &heard);
-                let attempt = async { Happened::Ended(attempt.await) };
+                let attempt =
+                    pin!(hosts.attempt(server, statement, writes, (until, begin_by), written, &heard));
                 self.beside(attempt, &ticket).await
             };
             // What was passed on in pieces is not here any more for another attempt.
@@ -237,7 +242,7 @@
                 let give_up_at = give_up_at(statement, core.clock.now(), self.way_back);
                 written();
                 ticket.whole(give_up_at);
-                let answer = async { Happened::Ended(hosts.answer(opened, give_up_at, &heard).await) };
+                let answer = pin!(hosts.answer(opened, give_up_at, &heard));
                 happened = self.beside(answer, &ticket).await;
             }
             let stale = |note: &Report| !once && core.is_stale(call, note, attempt.begun_at);
@@ -344,7 +349,10 @@
 
     /// The work, unless the module orders something else before, the client leaves, or the stop's time is over. An answer
     /// that is here comes first, for what it tells of its server; whether another attempt begins is looked at behind it.
-    async fn beside(&mut self, work: impl Future<Output = Happened>, ticket: &Ticket<'_>) -> Happened {
+    async fn beside(
+        &mut self, work: Pin<&mut impl Future<Output = Attempted>>, ticket: &Ticket<'_>,
+    ) -> Happened {
+        let work = async { Happened::Ended(work.await) };
         let ordered = async { Happened::Ordered(ticket.order().await) };
         let abandoned = async { Happened::Abandoned(self.client.abandoned().await) };
         future::or(work, future::or(ordered, abandoned)).await
