--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -162,7 +162,6 @@
     server: ServerId,
     number: u8,
     until: Micros,
-    begin_by: Micros,
     /// When it began, for what the module hears of its host.
     begun: Instant,
     begun_at: Micros,
@@ -211,16 +210,17 @@
                     return self.last_answer(why, sent_on.get());
                 }
             };
-            let (server, number, until, begin_by) = match next {
-                Order::Attempt { server, number, until, begin_by } => (server, number, until, begin_by),
+            let (server, number, until) = match next {
+                Order::Attempt { server, number, until } => (server, number, until),
                 Order::Refuse { retry_in } => return whole(Verdict::Refused { retry_in }),
                 Order::Fail => return whole(Verdict::Failed),
                 // The attempt ended on its own just before.
                 Order::Withdraw => continue,
             };
             let heard = Cell::default();
+            let may_begin = || ticket.may_begin();
             let (begun, begun_at) = (world::now(), core.clock.now());
-            let mut attempt = Attempt { server, number, until, begin_by, begun, begun_at };
+            let mut attempt = Attempt { server, number, until, begun, begun_at };
             let coming = self.client.left();
             // Whichever comes first; the others are dropped here, and with an attempt its connection:
             // it is closed before the module hears of it, so that no second copy can be out.
@@ -228,7 +228,7 @@
                 self.upload(&attempt, &ticket, statement).await
             } else {
                 let attempt =
-                    pin!(hosts.attempt(server, statement, writes, (until, begin_by), written, &heard));
+                    pin!(hosts.attempt(server, statement, writes, until, may_begin, written, &heard));
                 self.beside(attempt, &ticket).await
             };
             // What was passed on in pieces is not here any more for another attempt.
@@ -245,9 +245,8 @@
                 let answer = pin!(hosts.answer(opened, give_up_at, &heard));
                 happened = self.beside(answer, &ticket).await;
             }
-            let stale = |note: &Report| !once && core.is_stale(call, note, attempt.begun_at);
             let next = match happened {
-                Happened::Ended(attempted) => self.take_in(attempted, &attempt, &ticket, once, stale),
+                Happened::Ended(attempted) => self.take_in(attempted, &attempt, &ticket, once),
                 Happened::Uploaded(Err(Upload::NoConnection(outcome))) => {
                     if once {
                         ticket.answered();
@@ -300,12 +299,8 @@
         }
     }
 
-    /// Takes in what came of an attempt, which cannot be made again where it is made `once`; `stale` says whether its row
-    /// is too old.
-    fn take_in(
-        &mut self, attempted: Attempted, attempt: &Attempt, ticket: &Ticket<'_>, once: bool,
-        stale: impl FnOnce(&Report) -> bool,
-    ) -> Next {
+    /// Takes in what came of an attempt, which cannot be made again where it is made `once`.
+    fn take_in(&mut self, attempted: Attempted, attempt: &Attempt, ticket: &Ticket<'_>, once: bool) -> Next {
         let Attempted { outcome, note, row, rejected, long, plain, stream } = attempted;
         if let Some(e) = rejected {
             ticket.answered();
@@ -328,7 +323,7 @@
             attempt.ended(ticket, outcome, note);
             return Next::Done(whole(Verdict::Plain(bytes)));
         }
-        if row.is_some() && stale(&note) {
+        if row.is_some() && !once && ticket.is_stale(attempt.server, &note, attempt.begun_at) {
             // As if the host had turned it away.
             attempt.ended(ticket, Outcome::Miss, note);
             return Next::Order(None);
@@ -362,7 +357,7 @@
     async fn upload(&mut self, attempt: &Attempt, ticket: &Ticket<'_>, statement: &Statement) -> Happened {
         let (hosts, admission) = (self.hosts, self.admission);
         let upload = async {
-            let opened = hosts.open(attempt.server, attempt.until, attempt.begin_by).await;
+            let opened = hosts.open(attempt.server, attempt.until, || ticket.may_begin()).await;
             let opened = opened.map_err(Upload::NoConnection)?;
             match &mut self.client {
                 Client::Reading { line, left } => pass_on_statement(line, opened, statement, left).await,
