--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -162,10 +162,10 @@
     let host = echoing(&gate);
     let proxy = Proxy::start(&[&host], 1024);
     let (mut client, mut later) = (proxy.client(), proxy.client());
-    client.send(&queries(&[write("1"), read("2", "history", 300)]));
+    client.send(&queries(&[write("1"), read("2", "browse", 700)]));
     assert_eq!(id_of(&host.query()), "1");
     // Sent behind it and with more time, so that the other's is over when this one's is.
-    later.send(&query(&read("7", "browse", 600)));
+    later.send(&query(&read("7", "browse", 1000)));
     assert_eq!(id_of(&host.query()), "7");
     assert!(later.answer().value.is_none());
     gate.let_go("1");
