Separate the scan, the tree walk and the judgement of a shape

Cause: the modules tree and verdict of crates/sql named each other; verdict held the result types, the scan over the tokens and the judgement in one file, and the rule that the stricter effect counts stood three times.

Change: analysis holds the result types (Analysis, Effect, Features, Key and others) and the one rule that the stricter effect counts; scan and tree each fill an Analysis; judge compares the two. Arrows go judge -> scan, tree -> analysis. No behaviour and no public name changes.

--- a/crates/sql/src/lib.rs
+++ b/crates/sql/src/lib.rs
@@ -15,12 +15,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod analysis;
 mod functions;
+mod judge;
 mod lex;
+mod scan;
 mod tree;
-mod verdict;
 
+pub use analysis::{Analysis, Control, Effect, Features, Key, Uncarried};
 pub use functions::{Additions, Functions, Known};
+pub use judge::{Bounds, judge};
 pub use lex::{Reading, Slot, Unreadable, literal_text};
-pub use tree::Features;
-pub use verdict::{Analysis, Bounds, Control, Effect, Key, Uncarried, judge};
--- a/crates/sql/src/verdict.rs
+++ b/crates/sql/src/scan.rs
@@ -1,134 +1,10 @@
-//! The verdict on a shape, and what else routing needs to know of it. It owns both judges, the walk over the
-//! syntax tree and the scan over the tokens; of two opinions the stricter counts. It must never see the
-//! statement itself: a verdict is a function of the shape and of the lists of functions, of nothing else.
+//! The scan over the tokens of a shape: the effect as the words, calls and operators show it, without a
+//! grammar, so that no misread grammar can hide a write. It must never take a word that it does not know for
+//! a harmless one.
 
+use crate::analysis::{Analysis, Control, Effect, Uncarried};
 use crate::functions::{Functions, Known};
 use crate::lex::{Token, tokens};
-use crate::tree::{Features, Tree};
-use std::borrow::Cow;
-
-/// What running a statement does, the milder before the stricter.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Effect {
-    /// Nothing: any member that is current enough may run it.
-    Read,
-    /// It may change data: only the primary.
-    Write,
-    /// It changes the session, or needs what was left there.
-    Session,
-    /// It is no statement.
-    Invalid,
-}
-
-impl Effect {
-    /// Its name, as operators write it.
-    pub fn name(self) -> &'static str {
-        match self {
-            Effect::Read => "read",
-            Effect::Write => "write",
-            Effect::Session => "session",
-            Effect::Invalid => "invalid",
-        }
-    }
-}
-
-/// What a text says of transactions.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Control {
-    /// It begins one.
-    Begins,
-    /// It ends one.
-    Ends,
-    /// It means one that is open, or prepared elsewhere.
-    Within,
-}
-
-/// What this side cannot carry, whatever the rules say.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Uncarried {
-    /// BEGIN and what belongs to it; of several, the last that begins or ends one.
-    Transaction(Control),
-    /// State of a session.
-    Session,
-    /// The data stream of COPY.
-    Copy,
-}
-
-/// Bounds on the work for one shape; beyond them it is a write.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Bounds {
-    /// The longest shape that is parsed, in bytes.
-    pub parsed: usize,
-    /// The deepest nesting of parentheses that is parsed.
-    pub depth: usize,
-    /// The most operators and joining words in one statement: each may be a level of the tree.
-    pub links: usize,
-}
-
-impl Default for Bounds {
-    fn default() -> Bounds {
-        Bounds { parsed: 16 * 1024, depth: 24, links: 200 }
-    }
-}
-
-/// A column that is set equal to a literal, by the literal's place among the shape's placeholders.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Key {
-    /// The column's bare name.
-    pub column: Box<str>,
-    /// Which placeholder.
-    pub slot: u16,
-    /// Whether the literal is negative.
-    pub negative: bool,
-}
-
-/// All that is known of a shape.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Analysis {
-    /// What running it does.
-    pub effect: Effect,
-    /// Why, for whoever asks.
-    pub why: Cow<'static, str>,
-    /// What stands against carrying it at all.
-    pub uncarried: Option<Uncarried>,
-    /// Its tables, as written, each once.
-    pub tables: Vec<Box<str>>,
-    /// Columns that every row concerned has equal to a literal.
-    pub keys: Vec<Key>,
-    /// What its syntax tree shows of its cost.
-    pub features: Features,
-}
-
-impl Analysis {
-    fn of(effect: Effect, why: impl Into<Cow<'static, str>>) -> Analysis {
-        Analysis {
-            effect,
-            why: why.into(),
-            uncarried: None,
-            tables: Vec::new(),
-            keys: Vec::new(),
-            features: Features::default(),
-        }
-    }
-
-    /// Bytes on the heap.
-    pub fn heap(&self) -> usize {
-        let why = if let Cow::Owned(text) = &self.why { text.capacity() } else { 0 };
-        let tables: usize = self.tables.iter().map(|t| t.len()).sum();
-        let keys: usize = self.keys.iter().map(|k| k.column.len()).sum();
-        why + tables
-            + keys
-            + self.tables.capacity() * size_of::<Box<str>>()
-            + self.keys.capacity() * size_of::<Key>()
-    }
-
-    /// Takes the stricter of two opinions.
-    fn stricter(&mut self, effect: Effect, why: impl Into<Cow<'static, str>>) {
-        if effect > self.effect {
-            (self.effect, self.why) = (effect, why.into());
-        }
-    }
-}
 
 /// Words with which a statement that only reads may begin.
 const READING: [&str; 6] = ["select", "values", "table", "with", "show", "explain"];
@@ -227,71 +103,26 @@
     "&>", "<<|", "|>>", "&<|", "|&>", "<^", ">^", "?#", "?-", "?-|", "?||", "~=", "@-@", "##", "=>",
 ];
 
-/// Judges a shape.
-pub fn judge(shape: &str, functions: &Functions, bounds: &Bounds) -> Analysis {
-    let mut scan = Scan::new(functions);
-    let mut too_deep = false;
-    if shape.len() <= bounds.parsed {
-        scan.run(shape);
-    } else {
-        // Its first words still tell what it can't be carried as; all else does not matter.
-        scan.heads(shape);
-        scan.verdict(Effect::Write, "it is longer than what is read");
-    }
-    if scan.deepest > bounds.depth || scan.links > bounds.links {
-        too_deep = true;
-        scan.verdict(Effect::Write, "it is nested more deeply than what is read");
-    }
-    let mut analysis = Analysis::of(scan.effect, scan.why);
-    analysis.uncarried = scan.uncarried;
-    // Utility statements are told by their first words alone; the parser knows few of them.
-    let parse = shape.len() <= bounds.parsed && !too_deep && scan.uncarried.is_none() && !scan.utility;
-    if parse {
-        match Tree::read(shape, functions) {
-            Ok(tree) => {
-                (analysis.tables, analysis.keys, analysis.features) = (tree.tables, tree.keys, tree.features);
-                analysis.stricter(tree.effect, tree.why);
-            }
-            Err(what) => analysis.stricter(Effect::Write, format!("it does not parse: {what}")),
-        }
-    } else {
-        // Whatever the tokens say: what only one judge has seen is no read.
-        analysis.stricter(Effect::Write, "it is not parsed");
-    }
-    if analysis.effect == Effect::Session && analysis.uncarried.is_none() {
-        analysis.uncarried = Some(Uncarried::Session);
-    }
-    if analysis.why.is_empty() {
-        analysis.why = "a query of known functions only".into();
-    }
-    analysis
-}
-
 /// The scan over the tokens: the judge who knows no grammar, and so cannot be misled by one.
-struct Scan<'f> {
+pub(crate) struct Scan<'f> {
     functions: &'f Functions,
-    effect: Effect,
-    why: Cow<'static, str>,
-    uncarried: Option<Uncarried>,
+    pub analysis: Analysis,
     /// Something other than a query or a change of rows.
-    utility: bool,
-    deepest: usize,
-    links: usize,
+    pub utility: bool,
+    /// The deepest nesting of parentheses.
+    pub deepest: usize,
+    /// Operators and joining words of the statement that has the most.
+    pub links: usize,
 }
 
 impl<'f> Scan<'f> {
-    fn new(functions: &'f Functions) -> Scan<'f> {
-        let (effect, why) = (Effect::Read, Cow::Borrowed(""));
-        Scan { functions, effect, why, uncarried: None, utility: false, deepest: 0, links: 0 }
-    }
-
-    fn verdict(&mut self, effect: Effect, why: impl Into<Cow<'static, str>>) {
-        if effect > self.effect {
-            (self.effect, self.why) = (effect, why.into());
-        }
+    /// A scan that has seen nothing yet.
+    pub fn new(functions: &'f Functions) -> Scan<'f> {
+        Scan { functions, analysis: Analysis::new(), utility: false, deepest: 0, links: 0 }
     }
 
-    fn run(&mut self, shape: &str) {
+    /// Scans all tokens of a shape.
+    pub fn run(&mut self, shape: &str) {
         let tokens: Vec<(Token, &str)> = tokens(shape).collect();
         let mut most = 0;
         for statement in tokens.split(|t| t.0 == Token::Semicolon) {
@@ -303,7 +134,7 @@
     }
 
     /// Only the first words of each statement.
-    fn heads(&mut self, shape: &str) {
+    pub fn heads(&mut self, shape: &str) {
         let tokens: Vec<(Token, &str)> = tokens(shape).collect();
         for statement in tokens.split(|t| t.0 == Token::Semicolon) {
             self.head(statement);
@@ -326,37 +157,40 @@
                     _ => Control::Within,
                 };
                 // Transactions outrank what else can't be carried, and the last one counts.
-                let known = matches!(self.uncarried, Some(Uncarried::Transaction(_)));
+                let known = matches!(self.analysis.uncarried, Some(Uncarried::Transaction(_)));
                 if !known || control != Control::Within {
-                    self.uncarried = Some(Uncarried::Transaction(control));
+                    self.analysis.uncarried = Some(Uncarried::Transaction(control));
                 }
-                self.verdict(Effect::Session, format!("{} belongs to a transaction", first.to_uppercase()));
+                self.analysis
+                    .raise(Effect::Session, format!("{} belongs to a transaction", first.to_uppercase()));
                 false
             }
             _ if SESSION.contains(&first) => {
-                self.uncarried = self.uncarried.or(Some(Uncarried::Session));
-                self.verdict(Effect::Session, format!("{} belongs to a session", first.to_uppercase()));
+                self.analysis.uncarried = self.analysis.uncarried.or(Some(Uncarried::Session));
+                self.analysis
+                    .raise(Effect::Session, format!("{} belongs to a session", first.to_uppercase()));
                 false
             }
             "create" if words.iter().any(|w| ["temp", "temporary", "local"].contains(w)) => {
-                self.verdict(Effect::Session, "what is temporary belongs to a session");
+                self.analysis.raise(Effect::Session, "what is temporary belongs to a session");
                 self.utility = true;
                 false
             }
             "copy" => {
-                self.uncarried = self.uncarried.or(Some(Uncarried::Copy));
-                self.verdict(Effect::Write, "COPY has a data stream, and may write");
+                self.analysis.uncarried = self.analysis.uncarried.or(Some(Uncarried::Copy));
+                self.analysis.raise(Effect::Write, "COPY has a data stream, and may write");
                 false
             }
             "insert" | "update" | "delete" | "merge" => {
-                self.verdict(Effect::Write, format!("{} changes rows", first.to_uppercase()));
+                self.analysis.raise(Effect::Write, format!("{} changes rows", first.to_uppercase()));
                 true
             }
             _ if READING.contains(&first) => true,
             _ => {
                 self.utility = true;
                 let what: String = first.chars().take(40).collect();
-                self.verdict(Effect::Write, format!("{} is not known to be a query", what.to_uppercase()));
+                self.analysis
+                    .raise(Effect::Write, format!("{} is not known to be a query", what.to_uppercase()));
                 false
             }
         }
@@ -373,11 +207,11 @@
         if first == "explain" {
             let run = (1..tokens.len()).map(word).find(|w| ["execute", "prepare", "declare"].contains(w));
             if let Some(run) = run {
-                self.uncarried = self.uncarried.or(Some(Uncarried::Session));
-                self.verdict(Effect::Session, format!("{} belongs to a session", run.to_uppercase()));
+                self.analysis.uncarried = self.analysis.uncarried.or(Some(Uncarried::Session));
+                self.analysis.raise(Effect::Session, format!("{} belongs to a session", run.to_uppercase()));
             }
             if (1..tokens.len()).any(|i| ["create", "refresh"].contains(&word(i))) {
-                self.verdict(Effect::Write, "what is explained creates something");
+                self.analysis.raise(Effect::Write, "what is explained creates something");
             }
         }
         // For each open parenthesis, whether an expression and not an alias may follow its end.
@@ -397,7 +231,7 @@
                     continue;
                 }
                 Token::Operator if !OPERATORS.contains(&text) => {
-                    self.verdict(Effect::Write, format!("the operator {text} is not known"));
+                    self.analysis.raise(Effect::Write, format!("the operator {text} is not known"));
                 }
                 Token::Operator | Token::Double => self.links += 1,
                 Token::Word => self.word(tokens, i, explained),
@@ -422,19 +256,21 @@
                 self.links += 1;
             }
             "for" if matches!(next(1), "update" | "share" | "no" | "key") && !explained => {
-                self.verdict(Effect::Write, "it locks the rows that it reads");
+                self.analysis.raise(Effect::Write, "it locks the rows that it reads");
             }
             "into" if matches!(next(1), "temp" | "temporary" | "local") => {
-                self.verdict(Effect::Session, "what is temporary belongs to a session");
+                self.analysis.raise(Effect::Session, "what is temporary belongs to a session");
+            }
+            "operator" if next(1) == "(" => {
+                self.analysis.raise(Effect::Write, "OPERATOR() may name anybody's")
             }
-            "operator" if next(1) == "(" => self.verdict(Effect::Write, "OPERATOR() may name anybody's"),
-            "uescape" => self.verdict(Effect::Write, "UESCAPE is not read"),
+            "uescape" => self.analysis.raise(Effect::Write, "UESCAPE is not read"),
             "tablesample" if !matches!(next(1), "system" | "bernoulli") => {
-                self.verdict(Effect::Write, "the sampling method is not known");
+                self.analysis.raise(Effect::Write, "the sampling method is not known");
             }
             _ if CHANGING.contains(&text) && !explained => {
                 let what = text.to_uppercase();
-                self.verdict(Effect::Write, format!("{what} stands in it"));
+                self.analysis.raise(Effect::Write, format!("{what} stands in it"));
             }
             _ => {}
         }
@@ -448,7 +284,7 @@
         }
         let whole = dotted(tokens, i).join(".");
         if self.functions.has_effect(bare(tokens[i].1)) || self.functions.has_effect(&whole) {
-            self.verdict(Effect::Write, format!("{whole} is listed as having effects"));
+            self.analysis.raise(Effect::Write, format!("{whole} is listed as having effects"));
         }
     }
 
@@ -492,11 +328,11 @@
             Some(Known::Harmless | Known::Aggregate) => {}
             Some(Known::Session) => {
                 let what = parts.join(".");
-                self.verdict(Effect::Session, format!("{what}() belongs to a session"));
+                self.analysis.raise(Effect::Session, format!("{what}() belongs to a session"));
             }
             None => {
                 let what: String = parts.join(".").chars().take(80).collect();
-                self.verdict(Effect::Write, format!("{what}() is not known to be free of effects"));
+                self.analysis.raise(Effect::Write, format!("{what}() is not known to be free of effects"));
             }
         }
     }
@@ -540,19 +376,3 @@
     }
     parts
 }
-
-impl crate::Reading {
-    /// The verdict on the statement that was read last. Not only its shape's, which may be kept: a text that
-    /// another setting of the server would cut otherwise is never a read.
-    pub fn judge(&self, functions: &Functions, bounds: &Bounds) -> Analysis {
-        self.unsure_of(judge(self.shape(), functions, bounds))
-    }
-
-    /// The same, for a shape's analysis that is known already.
-    pub fn unsure_of(&self, mut analysis: Analysis) -> Analysis {
-        if self.unsure() {
-            analysis.stricter(Effect::Write, "another setting of the server would end a string elsewhere");
-        }
-        analysis
-    }
-}
--- a/crates/sql/src/tree.rs
+++ b/crates/sql/src/tree.rs
@@ -2,9 +2,9 @@
 //! the use of the parser. It must never recurse deeper than the bounds of the caller allow, and never take
 //! a node that it does not know for a harmless one.
 
+use crate::analysis::{Analysis, Effect, Features, Key};
 use crate::functions::{Functions, Known};
 use crate::lex::{Token, tokens};
-use crate::verdict::{Effect, Key};
 use sqlparser::ast::{
     BinaryOperator, Delete, Distinct, Expr, FromTable, GroupByExpr, Ident, InTarget, Insert, LimitClause,
     ObjectName, Query, Select, SetExpr, Statement, TableFactor, TableObject, TableWithJoins, UnaryOperator,
@@ -12,40 +12,11 @@
 };
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
-use std::borrow::Cow;
 use std::ops::ControlFlow;
 
 /// Levels of expressions and queries that the parser may go down.
 const RECURSION: usize = 60;
 
-/// What a syntax tree shows of a statement's cost.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Features {
-    /// Tables joined to the first of their query.
-    pub joins: u16,
-    /// Calls of aggregates, and GROUP BY clauses.
-    pub aggregates: u16,
-    /// ORDER BY, DISTINCT, and set operations that compare.
-    pub sorts: u16,
-    /// Queries within queries.
-    pub subqueries: u16,
-    /// Queries that read a table with no predicate.
-    pub unfiltered: u16,
-    /// Whether the outermost result has a LIMIT or is one row.
-    pub limited: bool,
-    /// Whether the outermost query or change finds its rows by a key's literal.
-    pub keyed: bool,
-}
-
-/// What the tree of a shape says.
-pub(crate) struct Tree {
-    pub effect: Effect,
-    pub why: Cow<'static, str>,
-    pub tables: Vec<Box<str>>,
-    pub keys: Vec<Key>,
-    pub features: Features,
-}
-
 /// The shape as a text to parse, each placeholder with its ordinal, so that the tree names its literals.
 fn numbered(shape: &str) -> String {
     use std::fmt::Write;
@@ -73,25 +44,23 @@
     out
 }
 
-impl Tree {
-    /// Parses a shape and walks over what came out.
-    pub fn read(shape: &str, functions: &Functions) -> Result<Tree, String> {
-        let text = numbered(shape);
-        let dialect = PostgreSqlDialect {};
-        let parsed = Parser::new(&dialect).with_recursion_limit(RECURSION).try_with_sql(&text);
-        let statements = parsed.and_then(|mut p| p.parse_statements()).map_err(|e| short(&e.to_string()))?;
-        let mut walk = Walk::new(functions);
-        for statement in &statements {
-            walk.outermost(statement);
-            let _ = statement.visit(&mut walk);
-        }
-        let Walk { effect, why, mut tables, common, keys, mut features, .. } = walk;
-        tables.retain(|t| !common.contains(t));
-        tables.sort();
-        tables.dedup();
-        features.keyed = !keys.is_empty();
-        Ok(Tree { effect, why, tables, keys, features })
+/// Parses a shape and walks over its syntax tree. The error says why the shape does not parse.
+pub(crate) fn analyse(shape: &str, functions: &Functions) -> Result<Analysis, String> {
+    let text = numbered(shape);
+    let dialect = PostgreSqlDialect {};
+    let parsed = Parser::new(&dialect).with_recursion_limit(RECURSION).try_with_sql(&text);
+    let statements = parsed.and_then(|mut p| p.parse_statements()).map_err(|e| short(&e.to_string()))?;
+    let mut walk = Walk::new(functions);
+    for statement in &statements {
+        walk.outermost(statement);
+        let _ = statement.visit(&mut walk);
     }
+    let Walk { mut analysis, common, .. } = walk;
+    analysis.tables.retain(|t| !common.contains(t));
+    analysis.tables.sort();
+    analysis.tables.dedup();
+    analysis.features.keyed = !analysis.keys.is_empty();
+    Ok(analysis)
 }
 
 /// The beginning of a message, without what follows its first line.
@@ -100,15 +69,12 @@
     text.lines().next().unwrap_or("").chars().take(120).collect()
 }
 
+/// The visitor of the syntax tree.
 struct Walk<'f> {
     functions: &'f Functions,
-    effect: Effect,
-    why: Cow<'static, str>,
-    tables: Vec<Box<str>>,
+    analysis: Analysis,
     /// Names of common tables.
     common: Vec<Box<str>>,
-    keys: Vec<Key>,
-    features: Features,
     /// Only the plan is asked for: changes of rows are not made.
     explained: bool,
     /// Statements within the present one.
@@ -117,23 +83,9 @@
 
 impl<'f> Walk<'f> {
     fn new(functions: &'f Functions) -> Walk<'f> {
-        Walk {
-            functions,
-            effect: Effect::Read,
-            why: "".into(),
-            tables: Vec::new(),
-            common: Vec::new(),
-            keys: Vec::new(),
-            features: Features { limited: true, ..Features::default() },
-            explained: false,
-            depth: 0,
-        }
-    }
-
-    fn verdict(&mut self, effect: Effect, why: impl Into<Cow<'static, str>>) {
-        if effect > self.effect {
-            (self.effect, self.why) = (effect, why.into());
-        }
+        let features = Features { limited: true, ..Features::default() };
+        let analysis = Analysis { features, ..Analysis::new() };
+        Walk { functions, analysis, common: Vec::new(), explained: false, depth: 0 }
     }
 
     /// What only the outermost statement tells: its kind, its keys, whether its result is bounded.
@@ -167,12 +119,12 @@
             body = &inner.body;
         }
         let SetExpr::Select(select) = body else {
-            self.features.limited &= limit || matches!(body, SetExpr::Values(_));
+            self.analysis.features.limited &= limit || matches!(body, SetExpr::Values(_));
             return;
         };
         self.filtered(select.selection.as_ref());
         let one_row = select.from.is_empty();
-        self.features.limited &= limit || one_row;
+        self.analysis.features.limited &= limit || one_row;
     }
 
     fn inserted(&mut self, insert: &Insert) {
@@ -228,7 +180,7 @@
             _ => None,
         };
         if let Some(slot) = slot {
-            self.keys.push(Key { column: Box::from(column.value.as_str()), slot, negative });
+            self.analysis.keys.push(Key { column: Box::from(column.value.as_str()), slot, negative });
         }
     }
 
@@ -243,18 +195,20 @@
         let known = parts.as_deref().and_then(|p| self.functions.get(p));
         match known {
             Some(Known::Harmless) => {}
-            Some(Known::Aggregate) => self.features.aggregates += 1,
-            Some(Known::Session) => self.verdict(Effect::Session, format!("{name}() belongs to a session")),
+            Some(Known::Aggregate) => self.analysis.features.aggregates += 1,
+            Some(Known::Session) => {
+                self.analysis.raise(Effect::Session, format!("{name}() belongs to a session"))
+            }
             None => {
                 let what: String = name.to_string().chars().take(80).collect();
-                self.verdict(Effect::Write, format!("{what}() is not known to be free of effects"));
+                self.analysis.raise(Effect::Write, format!("{what}() is not known to be free of effects"));
             }
         }
     }
 
     fn table(&mut self, name: &ObjectName) {
         let parts: Vec<&str> = name.0.iter().filter_map(|p| p.as_ident()).map(|i| i.value.as_str()).collect();
-        self.tables.push(parts.join(".").into());
+        self.analysis.tables.push(parts.join(".").into());
     }
 }
 
@@ -289,7 +243,7 @@
                 self.changes("DELETE");
             }
             Statement::Merge { .. } => self.changes("MERGE"),
-            _ => self.verdict(Effect::Write, "it is not known to be a query"),
+            _ => self.analysis.raise(Effect::Write, "it is not known to be a query"),
         }
         ControlFlow::Continue(())
     }
@@ -304,34 +258,35 @@
             self.common.extend(with.cte_tables.iter().map(|c| Box::from(c.alias.name.value.as_str())));
         }
         if !query.locks.is_empty() {
-            self.verdict(Effect::Write, "it locks the rows that it reads");
+            self.analysis.raise(Effect::Write, "it locks the rows that it reads");
         }
         let foreign = query.for_clause.is_some() || query.settings.is_some() || query.format_clause.is_some();
         if foreign || !query.pipe_operators.is_empty() {
-            self.verdict(Effect::Write, "it has a clause that PostgreSQL does not know");
+            self.analysis.raise(Effect::Write, "it has a clause that PostgreSQL does not know");
         }
         let limit = matches!(&query.limit_clause, Some(LimitClause::LimitOffset { limit: Some(_), .. }));
-        self.features.sorts += u16::from(query.order_by.is_some() && !limit);
+        self.analysis.features.sorts += u16::from(query.order_by.is_some() && !limit);
         if let SetExpr::SetOperation { .. } = &*query.body {
-            self.features.sorts += 1;
+            self.analysis.features.sorts += 1;
         }
         ControlFlow::Continue(())
     }
 
     fn pre_visit_select(&mut self, select: &Select) -> ControlFlow<()> {
         if select.into.is_some() {
-            self.verdict(Effect::Write, "SELECT INTO creates a table");
+            self.analysis.raise(Effect::Write, "SELECT INTO creates a table");
         }
         let joins: usize = select.from.iter().map(|t| t.joins.len()).sum();
         let more = select.from.len().saturating_sub(1);
-        self.features.joins += u16::try_from(joins + more).unwrap_or(u16::MAX / 4).min(u16::MAX / 4);
+        self.analysis.features.joins += u16::try_from(joins + more).unwrap_or(u16::MAX / 4).min(u16::MAX / 4);
         let grouped = !matches!(&select.group_by, GroupByExpr::Expressions(e, _) if e.is_empty());
-        self.features.aggregates = self.features.aggregates.saturating_add(u16::from(grouped));
+        self.analysis.features.aggregates =
+            self.analysis.features.aggregates.saturating_add(u16::from(grouped));
         let distinct = matches!(select.distinct, Some(Distinct::Distinct | Distinct::On(_)));
-        self.features.sorts = self.features.sorts.saturating_add(u16::from(distinct));
+        self.analysis.features.sorts = self.analysis.features.sorts.saturating_add(u16::from(distinct));
         let reads = select.from.iter().any(|t| matches!(t.relation, TableFactor::Table { args: None, .. }));
         if reads && select.selection.is_none() {
-            self.features.unfiltered = self.features.unfiltered.saturating_add(1);
+            self.analysis.features.unfiltered = self.analysis.features.unfiltered.saturating_add(1);
         }
         ControlFlow::Continue(())
     }
@@ -343,11 +298,11 @@
                 self.called(name);
             }
             TableFactor::Derived { .. } => {
-                self.features.subqueries = self.features.subqueries.saturating_add(1);
+                self.analysis.features.subqueries = self.analysis.features.subqueries.saturating_add(1);
             }
             TableFactor::NestedJoin { .. } | TableFactor::UNNEST { .. } => {}
             TableFactor::TableFunction { .. } => {}
-            _ => self.verdict(Effect::Write, "it reads from what is not known"),
+            _ => self.analysis.raise(Effect::Write, "it reads from what is not known"),
         }
         ControlFlow::Continue(())
     }
@@ -356,13 +311,13 @@
         match e {
             Expr::Function(f) => self.called(&f.name),
             Expr::Subquery(_) | Expr::Exists { .. } => {
-                self.features.subqueries = self.features.subqueries.saturating_add(1);
+                self.analysis.features.subqueries = self.analysis.features.subqueries.saturating_add(1);
             }
             Expr::BinaryOp { op: BinaryOperator::PGCustomBinaryOperator(_), .. } => {
-                self.verdict(Effect::Write, "OPERATOR() may name anybody's");
+                self.analysis.raise(Effect::Write, "OPERATOR() may name anybody's");
             }
             Expr::BinaryOp { op: BinaryOperator::Custom(_) | BinaryOperator::Spaceship, .. } => {
-                self.verdict(Effect::Write, "it has an operator that is not known");
+                self.analysis.raise(Effect::Write, "it has an operator that is not known");
             }
             Expr::Identifier(_)
             | Expr::CompoundIdentifier(_)
@@ -411,7 +366,7 @@
             | Expr::Interval(_)
             | Expr::Wildcard(_)
             | Expr::QualifiedWildcard(..) => {}
-            _ => self.verdict(Effect::Write, "it has an expression that PostgreSQL does not know"),
+            _ => self.analysis.raise(Effect::Write, "it has an expression that PostgreSQL does not know"),
         }
         ControlFlow::Continue(())
     }
@@ -421,7 +376,7 @@
     fn changes(&mut self, what: &'static str) {
         if !self.explained {
             let place = if self.depth > 1 { "stands within the statement" } else { "changes rows" };
-            self.verdict(Effect::Write, format!("{what} {place}"));
+            self.analysis.raise(Effect::Write, format!("{what} {place}"));
         }
     }
 
