Move the configuration of the proxy's own sockets into a leaf module

Cause: src/config.rs named the console's bound on connections, and src/net/peers.rs the type Talk of src/config.rs, so the configuration, the console and the peers formed a circle.

Change: src/net/endpoints.rs holds Talk and CONSOLE_CONNECTIONS (was CALLERS) and names no other module; configuration, console and peers name it. No behaviour and no message changes.

--- a/src/config.rs
+++ b/src/config.rs
@@ -6,8 +6,8 @@
 //! reload the file is checked as at a start; a `discovery` that it names anew then wins, since the
 //! environment of a running program cannot change. All other keys count at the next start.
 
-use crate::net::console::CALLERS;
 use crate::net::core::fnv1a;
+use crate::net::endpoints::{CONSOLE_CONNECTIONS, Talk};
 use crate::net::listing::Listing;
 use crate::settings::{self, Dialect};
 use crate::{Micros, Settings};
@@ -62,18 +62,6 @@
     file: File,
 }
 
-/// The addresses by which proxies talk to each other.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Talk {
-    /// This proxy's number among them.
-    pub ordinal: u16,
-    pub listen: SocketAddr,
-    /// Whence each proxy's words come and where it is spoken to, by number.
-    pub each: Vec<SocketAddr>,
-    /// Where all are spoken to at once.
-    pub all: Option<SocketAddr>,
-}
-
 #[derive(Clone, Deserialize)]
 struct File {
     name: Option<String>,
@@ -182,7 +170,7 @@
             return Err(format!("linger_ms: {linger_ms} is over {MOST_LINGER_MS}"));
         }
         let talk = talk(&file, &settings)?;
-        let spare = SPARE_SOCKETS + console.map_or(0, |_| CALLERS) + usize::from(talk.is_some());
+        let spare = SPARE_SOCKETS + console.map_or(0, |_| CONSOLE_CONNECTIONS) + usize::from(talk.is_some());
         let most_host_connections = (sockets - spare) * 2 / 5;
         let most_clients = sockets - spare - most_host_connections;
         Ok(Config {
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -4,6 +4,7 @@
 
 use super::client::Clients;
 use super::core::Core;
+use super::endpoints::CONSOLE_CONNECTIONS;
 use super::peers::Peers;
 use super::upgrade::Upgrade;
 use super::world::{self, Listener, Spawner, Stream};
@@ -17,8 +18,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Callers at the same time; each holds a descriptor.
-pub const CALLERS: usize = 16;
 /// A whole call has to come within this.
 const CALL: Duration = Duration::from_millis(2_500);
 /// An answer has to be taken within this.
@@ -81,7 +80,7 @@
                 }
             };
             // Guards against slow callers that shut out one with a whole call: the first come goes.
-            let full = self.callers.borrow().len() >= CALLERS;
+            let full = self.callers.borrow().len() >= CONSOLE_CONNECTIONS;
             let oldest = if full { self.callers.borrow_mut().pop_first() } else { None };
             oldest.map(|(_, go)| go.try_send(()));
             let (go, asked_to_go) = async_channel::bounded(1);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,9 @@
-//! Everything that touches sockets, in sixteen parts, each of which knows only those before it: `world` is the
-//! door to the machine, `backoff` the waits between tries, `listing` the list as a message; `core` owns the decision
-//! module, time and the figures; `capture` the record of load, `hosts` the connections to database hosts,
-//! `discovery` the watch of the list, `peers` the talk with other proxies, `statements` the desk for plain statements, `admission` clients'
-//! places, `line` their connections, `life` a request's life, `client` their sessions, `upgrade` what two processes share, `console` the operators' door, `proxy` all of them.
+//! Everything that touches sockets, in seventeen parts, each of which knows only those before it: `world` is the door to
+//! the machine, `endpoints` plain configuration of the proxy's own sockets, `backoff` the waits between tries, `listing`
+//! the list as a message; `core` owns the decision module, time and the figures; `capture` the record of load, `hosts`
+//! the connections to database hosts, `discovery` the watch of the list, `peers` the talk with other proxies,
+//! `statements` the desk for plain statements, `admission` clients' places, `line` their connections, `life` a request's
+//! life, `client` their sessions, `upgrade` what two processes share, `console` the operators' door, `proxy` all of them.
 //! This file holds only what they share; it must never decide nor keep state beyond a moment.
 
 #![warn(clippy::disallowed_methods)]
@@ -14,6 +15,7 @@
 pub mod console;
 pub mod core;
 pub mod discovery;
+pub mod endpoints;
 pub mod hosts;
 pub mod life;
 pub mod line;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -7,8 +7,8 @@
 
 use super::complain;
 use super::core::Core;
+use super::endpoints::Talk;
 use super::world::{self, Post};
-use crate::config::Talk;
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use sillfold_talk::message::MOST;
