Unify the buckets of service times, and the hash of texts within crates/route

Cause: the quarter-octave buckets stood in crates/route (found by a logarithm) and in crates/capture (found by binary search); FNV-1a stood twice in crates/route.

Change: the new crate crates/histogram owns the buckets and depends on nothing; costs and captures use it, with the binary search. The copy of FNV-1a in src/net/core.rs stays for now; the checksum of captures is the 32-bit variant and stays. The unused public function bucket_us of crates/capture is gone.

--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -3,14 +3,14 @@
 //! never take a line that was changed or cut short for a whole one.
 //!
 //! A capture is text. Each line is a JSON object, a tab, and eight hexadecimal digits: FNV-1a of 32 bits over the
-//! object's bytes. The first line is a [`Header`], each further one a [`Record`]. Times are in microseconds, buckets
-//! a quarter octave wide from 16 us on.
+//! object's bytes. The first line is a [`Header`], each further one a [`Record`]. Times are in microseconds, in the buckets
+//! of `sillfold_histogram`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 use serde::{Deserialize, Serialize};
+use sillfold_histogram::{bucket_of, middle_us};
 use std::collections::BTreeMap;
-use std::sync::LazyLock;
 
 /// The version of the format.
 pub const VERSION: u32 = 1;
@@ -20,9 +20,6 @@
 const MOST_SHAPES: usize = 32;
 /// One shape in so many is looked at.
 const SHAPE_SAMPLE: u64 = 8;
-/// Buckets of service times, and the smallest.
-const BUCKETS: u8 = 88;
-const SMALLEST_US: f64 = 16.0;
 /// The longest line that is read.
 const MOST_LINE: usize = 4 << 20;
 
@@ -143,7 +140,7 @@
             Tried::Served(us) => {
                 c.cell.served += 1;
                 if sampled {
-                    *c.us.entry(bucket(us)).or_default() += 1;
+                    *c.us.entry(bucket_of(us)).or_default() += 1;
                 }
             }
             Tried::Missed => c.cell.missed += 1,
@@ -194,19 +191,6 @@
     }
 }
 
-/// Where each bucket but the first begins: found by halves, which takes a tenth of a logarithm.
-static BEGINS: LazyLock<[u64; BUCKETS as usize - 1]> =
-    LazyLock::new(|| std::array::from_fn(|b| (SMALLEST_US * ((b + 1) as f64 / 4.0).exp2()).ceil() as u64));
-
-fn bucket(us: u64) -> u8 {
-    BEGINS.partition_point(|&begin| begin <= us) as u8
-}
-
-/// The middle of a bucket, in microseconds.
-pub fn bucket_us(bucket: u8) -> f64 {
-    SMALLEST_US * ((f64::from(bucket) + 0.5) / 4.0).exp2()
-}
-
 fn checksum(bytes: &[u8]) -> u32 {
     bytes.iter().fold(0x811c_9dc5, |h, b| (h ^ u32::from(*b)).wrapping_mul(0x0100_0193))
 }
@@ -349,7 +333,7 @@
             let times = &us[class];
             let samples: u64 = times.values().sum();
             let mean = |f: &dyn Fn(f64) -> f64| {
-                let sum: f64 = times.iter().map(|(b, n)| f(bucket_us(*b)) * *n as f64).sum();
+                let sum: f64 = times.iter().map(|(b, n)| f(middle_us(*b)) * *n as f64).sum();
                 if samples > 0 { sum / samples as f64 } else { 0.0 }
             };
             let (mean_us, square) = (mean(&|x| x), mean(&|x| x * x));
@@ -367,7 +351,7 @@
                 samples,
                 mean_us,
                 cv2: if mean_us > 0.0 { (square / (mean_us * mean_us) - 1.0).max(0.0) } else { 0.0 },
-                p95_us: p95.map_or(0.0, |(b, _)| bucket_us(*b)),
+                p95_us: p95.map_or(0.0, |(b, _)| middle_us(*b)),
             };
             out.classes.insert(class.to_string(), total);
         }
--- a/crates/route/src/cache.rs
+++ b/crates/route/src/cache.rs
@@ -3,6 +3,7 @@
 //! one that it keeps: a hash finds the place, the text decides.
 
 use crate::cost::{Costs, Estimate, Sketch};
+use crate::hash::fnv1a;
 use quick_cache::unsync::{Cache, DefaultLifecycle};
 use quick_cache::{DefaultHashBuilder, Equivalent, OptionsBuilder, Weighter};
 use sillfold_sql::Analysis;
@@ -57,8 +58,7 @@
 
     /// A number for it, to compare by eye. Nothing is decided by it.
     pub fn number(&self) -> u64 {
-        let fnv = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-        self.text.bytes().fold(0xcbf2_9ce4_8422_2325, fnv)
+        fnv1a(&self.text)
     }
 
     /// Bytes that it takes in the cache, all counted.
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -3,12 +3,9 @@
 //! never give an estimate without a bound on it.
 
 use quick_cache::unsync::Cache;
+use sillfold_histogram::{BUCKETS, bucket_of, middle_us};
 use sillfold_sql::{Analysis, Features};
 
-/// Buckets a quarter octave wide: from 16 us on, the last for all beyond about 56 s.
-const BUCKETS: usize = 88;
-const SMALLEST_US: f64 = 16.0;
-const PER_OCTAVE: f64 = 4.0;
 /// At this sum all counts are halved, so that what was long ago fades.
 const FADES_AT: u16 = 256;
 /// So many samples make a sketch count alone; below, the guess counts in proportion.
@@ -39,8 +36,7 @@
 impl Sketch {
     /// Takes in a service time in microseconds.
     pub fn add(&mut self, us: u64) {
-        let at = ((us.max(1) as f64 / SMALLEST_US).log2() * PER_OCTAVE).floor().max(0.0) as usize;
-        self.counts[at.min(BUCKETS - 1)] += 1;
+        self.counts[usize::from(bucket_of(us))] += 1;
         self.sum += 1;
         if self.sum >= FADES_AT {
             self.counts.iter_mut().for_each(|c| *c /= 2);
@@ -62,12 +58,11 @@
     pub fn quantile(&self, q: f64) -> Option<f64> {
         let rank = (q * f64::from(self.sum)).ceil().max(1.0) as u32;
         let mut seen = 0;
-        let at = self.counts.iter().position(|&c| {
+        let bucket = self.counts.iter().position(|&c| {
             seen += u32::from(c);
             seen >= rank
         })?;
-        // The middle of the bucket, by ratio.
-        Some(SMALLEST_US * ((at as f64 + 0.5) / PER_OCTAVE).exp2())
+        Some(middle_us(bucket as u8))
     }
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,12 +14,14 @@
 mod block;
 mod cache;
 mod cost;
+mod hash;
 mod rules;
 mod writes;
 
 pub use block::{Block, Met};
 pub use cache::{Asked, Shape, Shapes};
 pub use cost::{Costs, Estimate, Sketch};
+pub use hash::fnv1a;
 pub use rules::{Band, Classes, Facts, Fault, Group, NoRoute, Pattern, Rule, faults, rendezvous};
 pub use sillfold_sql as sql;
 pub use writes::OwnWrites;
--- a/crates/route/src/rules.rs
+++ b/crates/route/src/rules.rs
@@ -2,6 +2,7 @@
 //! and what is wrong with them as a whole. It must never send a write to a class that only reads, and never
 //! guess where no rule matches.
 
+use crate::hash::fnv1a;
 use sillfold_sql::{Analysis, Effect, literal_text};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -247,8 +248,7 @@
 /// The group with the highest lot for this key: when one is added or taken out, only its own keys move.
 /// Thaler and Ravishankar, "A name-based mapping scheme for rendezvous".
 pub fn rendezvous(key: &str, among: &[u32]) -> Option<u32> {
-    let fnv = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    let hash = key.bytes().fold(0xcbf2_9ce4_8422_2325, fnv);
+    let hash = fnv1a(key);
     // The finalizer of splitmix64: near groups and keys get unlike lots.
     let lot = |group: u32| {
         let mut z = hash ^ u64::from(group).wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
