--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -1,6 +1,6 @@
-//! Captured load: what is recorded of requests, in bounded memory, and the lines in which it is kept. Pure: it is told
-//! what happened and gives lines, or is given bytes and tells what they hold. It must never grow with the load, and
-//! never take a line that was changed or cut short for a whole one.
+//! Recording of load: aggregates of requests by class and group in bounded memory, and the text format in which they
+//! are stored. Pure: it is told what happened and returns lines, or is given bytes and returns what they hold. Memory
+//! does not grow with the load; a changed or truncated line is detected by its checksum.
 //!
 //! A capture is text. Each line is a JSON object, a tab, and eight hexadecimal digits: FNV-1a of 32 bits over the
 //! object's bytes. The first line is a [`Header`], each further one a [`Record`]. Times are in microseconds, in the buckets
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,5 +1,5 @@
-//! JSON5 files, taken whole or not at all: every message names the file, the place as line and column, and the key.
-//! It must never give a value that its own checks would turn away.
+//! Reads JSON5 configuration files and validates them whole: a file is accepted with all of its values or rejected.
+//! Each error message names the file, the line and column, and the key.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -12,7 +12,7 @@
 /// The longest file that is read, in bytes.
 const MOST_BYTES: u64 = 16 << 20;
 
-/// The text of a file; the error names it.
+/// Reads a file as text; the error names the file.
 pub fn text(path: &Path) -> Result<String, String> {
     let text = std::fs::metadata(path).and_then(|m| match m.len() {
         0..=MOST_BYTES => std::fs::read_to_string(path),
@@ -21,13 +21,13 @@
     text.map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// What a file may hold: a value that can be read and checked whole.
-pub trait Whole: DeserializeOwned + Validate<Context = ()> {}
+/// A type of configuration file: it can be deserialized and validated.
+pub trait Configuration: DeserializeOwned + Validate<Context = ()> {}
 
-impl<T: DeserializeOwned + Validate<Context = ()>> Whole for T {}
+impl<T: DeserializeOwned + Validate<Context = ()>> Configuration for T {}
 
-/// Reads and checks a text; `name` leads every message.
-pub fn parse<T: Whole>(name: &str, text: &str) -> Result<T, Vec<String>> {
+/// Parses and validates a text; each error message begins with `name`.
+pub fn parse<T: Configuration>(name: &str, text: &str) -> Result<T, Vec<String>> {
     let value: T = read(text).map_err(|(key, place, what)| {
         let key = if key == "." { String::new() } else { format!("{key}: ") };
         vec![format!("{name}:{place}: {key}{what}")]
@@ -37,7 +37,7 @@
         Err(report) => {
             let lines = report.iter().map(|(path, error)| {
                 let key = path.to_string();
-                format!("{name}:{}: {key}: {error}", place(text, &key))
+                format!("{name}:{}: {key}: {error}", locate(text, &key))
             });
             Err(lines.collect())
         }
@@ -60,9 +60,8 @@
     })
 }
 
-/// Where a key's value stands in a text that parses, as line and column; of the nearest key above where it is
-/// not written.
-pub fn place(text: &str, key: &str) -> String {
+/// The line and column of a key's value in a text that parses; those of the nearest enclosing key if it is absent.
+pub fn locate(text: &str, key: &str) -> String {
     let steps: Vec<&str> = key.split(['.', '[', ']']).filter(|s| !s.is_empty()).collect();
     for length in (0..=steps.len()).rev() {
         let mut de = json5::Deserializer::from_str(text);
--- a/crates/headroom/src/lib.rs
+++ b/crates/headroom/src/lib.rs
@@ -1,6 +1,6 @@
-//! Headroom, learnt online: what each host can do, what its group is asked for, and what is left. Where too much is
-//! asked for it says which requests to turn away at the door: those worth least for their work. Pure: it is told what
-//! happened and when. It must never turn anything away of a group whose capacity it has not seen the end of.
+//! Online estimation of capacity and admission control: the capacity of each host, the work offered to its group, and
+//! the headroom that is left. Under overload it says which requests to reject: those worth least for their work. Pure:
+//! it is told what happened and when. It never rejects a request to a group whose capacity limit was not yet observed.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -13,31 +13,31 @@
 /// Figures are brought up to date this often.
 const PERIOD: Micros = 100_000;
 /// Weight of the old value of a rate, for each period: half is forgotten in about 0.7 s.
-const OLD: f64 = 0.905;
+const RATE_DECAY: f64 = 0.905;
 /// The median of a class's latencies at hosts that are not full moves by this part of itself: service without wait.
-const STEP: f64 = 0.02;
+const MEDIAN_STEP: f64 = 0.02;
 /// An answer that took so many times that median waited: its host has no core free. Where times vary as they do, with
 /// no wait, 2 (cv^2 0.3) to 9 (cv^2 1) in 100 take longer. Guards against idle hosts that pass for full ones.
-const WAITED: f64 = 3.0;
+const QUEUED_FACTOR: f64 = 3.0;
 /// Over this share of such answers, or of attempts turned away, a host is full.
-const FULL: f64 = 0.3;
+const FULL_SHARE: f64 = 0.3;
 /// A capacity that was seen follows the work of a full host by this part, and is trusted for so long.
-const FOLLOWS: f64 = 0.2;
-const TRUSTED: Micros = 30_000_000;
+const CAPACITY_STEP: f64 = 0.2;
+const CAPACITY_VALID_FOR: Micros = 30_000_000;
 /// A host that is not full may do so many times as much with each period. Guards against an end that was seen too
 /// early and is never reached again, since no more is let in.
-const GROWS: f64 = 1.004;
+const CAPACITY_GROWTH: f64 = 1.004;
 /// The least part of a class that is let in: without any, nothing would show that it fits again.
-const LEAST: f64 = 0.02;
+const MIN_ADMITTED: f64 = 0.02;
 /// So much of a group's capacity is given out.
-const GIVEN: f64 = 0.95;
+const USABLE_SHARE: f64 = 0.95;
 /// Classes whose worth for their work is within this part of each other count as alike.
-const ALIKE: f64 = 0.6;
+const SAME_TIER: f64 = 0.6;
 /// Attempts that a figure needs.
-const ENOUGH: u32 = 20;
+const MIN_SAMPLES: u32 = 20;
 /// Hosts and groups that are kept; what was silent for so long is forgotten.
-const MOST: usize = 4_096;
-const SILENT: Micros = 60_000_000;
+const MAX_ENTRIES: usize = 4_096;
+const FORGET_AFTER: Micros = 60_000_000;
 
 /// What a class is worth, and whether only primaries take it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -131,10 +131,10 @@
 
     /// A request came. Whether to let it in: `lot` is drawn evenly from 0 to 1.
     pub fn arrived(&mut self, class: u8, group: u32, lot: f64, now: Micros) -> bool {
-        self.turn(now);
+        self.update(now);
         let n = self.classes.len();
         let c = usize::from(class);
-        if c >= n || (self.groups.len() >= MOST && !self.groups.contains_key(&group)) {
+        if c >= n || (self.groups.len() >= MAX_ENTRIES && !self.groups.contains_key(&group)) {
             return true;
         }
         let g = self.groups.entry(group).or_default();
@@ -148,10 +148,10 @@
 
     /// An attempt ended at a host.
     pub fn tried(&mut self, class: u8, group: u32, host: u32, ended: Ended, now: Micros) {
-        self.turn(now);
+        self.update(now);
         let c = usize::from(class);
         let Some(of) = self.classes.get(c).copied() else { return };
-        if self.hosts.len() >= MOST && !self.hosts.contains_key(&host) {
+        if self.hosts.len() >= MAX_ENTRIES && !self.hosts.contains_key(&host) {
             return;
         }
         let h = self.hosts.entry(host).or_default();
@@ -162,15 +162,15 @@
                 let s = &mut self.service[c];
                 if self.seen[c] == 0 {
                     *s = took;
-                } else if h.share_full <= FULL {
+                } else if h.share_full <= FULL_SHARE {
                     // Fast at first: a rare class would else be held for its first answer for a minute.
-                    let step = STEP.max(0.3 / f64::from(self.seen[c] + 1));
+                    let step = MEDIAN_STEP.max(0.3 / f64::from(self.seen[c] + 1));
                     *s *= if took > *s { 1.0 + step } else { 1.0 - step };
                 }
                 self.seen[c] = self.seen[c].saturating_add(1);
                 h.served += *s;
                 h.tried += 1;
-                h.full += u32::from(took > *s * WAITED);
+                h.full += u32::from(took > *s * QUEUED_FACTOR);
                 h.primary |= of.writes;
             }
             Ended::Full => {
@@ -197,7 +197,7 @@
     }
 
     /// Brings the figures up to date, as often as is due.
-    fn turn(&mut self, now: Micros) {
+    fn update(&mut self, now: Micros) {
         if self.due == 0 {
             self.due = now + PERIOD;
         }
@@ -206,29 +206,29 @@
         }
         // After a silence one longer period stands for all that were missed.
         let span = (now + PERIOD - self.due) as f64 / 1e6;
-        let old = OLD.powf(span / (PERIOD as f64 / 1e6));
+        let old = RATE_DECAY.powf(span / (PERIOD as f64 / 1e6));
         self.due = now + PERIOD;
-        self.hosts.retain(|_, h| h.last + SILENT > now);
-        self.groups.retain(|_, g| g.last + SILENT > now);
+        self.hosts.retain(|_, h| h.last + FORGET_AFTER > now);
+        self.groups.retain(|_, g| g.last + FORGET_AFTER > now);
         for h in self.hosts.values_mut() {
             h.work = old * h.work + (1.0 - old) * h.served / span;
             if h.tried > 0 {
                 let share = f64::from(h.full) / f64::from(h.tried);
-                let weight = 1.0 - OLD.powf(f64::from(h.tried) / 4.0);
+                let weight = 1.0 - RATE_DECAY.powf(f64::from(h.tried) / 4.0);
                 h.share_full += weight * (share - h.share_full);
             }
             if h.tried == 0 {
                 // Guards against a host of which nothing is heard because nothing is let in: its end is forgotten.
-                h.share_full *= OLD;
-                h.capacity = h.capacity.filter(|c| c.1 + TRUSTED > now);
-            } else if h.share_full > FULL {
-                let capacity = h.capacity.map_or(h.work, |c| c.0 + FOLLOWS * (h.work - c.0));
+                h.share_full *= RATE_DECAY;
+                h.capacity = h.capacity.filter(|c| c.1 + CAPACITY_VALID_FOR > now);
+            } else if h.share_full > FULL_SHARE {
+                let capacity = h.capacity.map_or(h.work, |c| c.0 + CAPACITY_STEP * (h.work - c.0));
                 h.capacity = Some((capacity.max(1e-6), now));
             } else {
                 h.most = (h.most * 0.9999).max(h.work);
                 // It does more than was thought, and is not full; what it might do beyond is tried little by little.
-                let grown = |c: (f64, Micros)| ((c.0 * GROWS).max(h.work), c.1);
-                h.capacity = h.capacity.filter(|c| c.1 + TRUSTED > now).map(grown);
+                let grown = |c: (f64, Micros)| ((c.0 * CAPACITY_GROWTH).max(h.work), c.1);
+                h.capacity = h.capacity.filter(|c| c.1 + CAPACITY_VALID_FOR > now).map(grown);
             }
             (h.served, h.tried, h.full) = (0.0, 0, 0);
         }
@@ -240,7 +240,7 @@
         }
         let ids: Vec<u32> = self.groups.keys().copied().collect();
         for id in ids {
-            let admitted = self.shares(id);
+            let admitted = self.admission_shares(id);
             if let Some(g) = self.groups.get_mut(&id) {
                 g.admitted = admitted;
             }
@@ -257,33 +257,33 @@
     }
 
     /// Work that comes to a group, by class, in core-seconds a second.
-    fn asked(&self, group: u32) -> Vec<f64> {
+    fn offered_work(&self, group: u32) -> Vec<f64> {
         let rates = self.groups.get(&group).map_or(&[][..], |g| &g.rates);
         rates.iter().zip(&self.service).map(|(r, s)| r * s).collect()
     }
 
     /// The part of each class to let in: all that fits, the worthiest for its work first.
-    fn shares(&self, group: u32) -> Vec<f64> {
+    fn admission_shares(&self, group: u32) -> Vec<f64> {
         let n = self.classes.len();
         let (all, seen) = self.capacity(group, false);
-        let asked = self.asked(group);
-        if !seen || asked.len() < n || asked.iter().sum::<f64>() <= all * GIVEN {
+        let asked = self.offered_work(group);
+        if !seen || asked.len() < n || asked.iter().sum::<f64>() <= all * USABLE_SHARE {
             return vec![1.0; n];
         }
         let mut order: Vec<usize> = (0..n).collect();
         let value = |c: usize| self.classes[c].worth / self.service[c].max(1e-6);
         order.sort_by(|&a, &b| value(b).total_cmp(&value(a)));
         // Of a class that was hardly seen nothing is known.
-        order.retain(|&c| self.seen[c] >= ENOUGH && asked[c] > 0.0);
-        let (mut left, mut shares) = (all * GIVEN, vec![1.0; n]);
+        order.retain(|&c| self.seen[c] >= MIN_SAMPLES && asked[c] > 0.0);
+        let (mut left, mut shares) = (all * USABLE_SHARE, vec![1.0; n]);
         let mut rest = order.as_slice();
         while let Some(&first) = rest.first() {
             // Classes of about the same value share what is left. Guards against a rare one that is shut out by the
             // error of what it is learnt to take.
-            let alike = rest.iter().take_while(|&&c| value(c) >= ALIKE * value(first)).count();
+            let alike = rest.iter().take_while(|&&c| value(c) >= SAME_TIER * value(first)).count();
             let (tier, others) = rest.split_at(alike.max(1));
             let work: f64 = tier.iter().map(|&c| asked[c]).sum();
-            tier.iter().for_each(|&c| shares[c] = (left / work).clamp(LEAST, 1.0));
+            tier.iter().for_each(|&c| shares[c] = (left / work).clamp(MIN_ADMITTED, 1.0));
             left = (left - work).max(0.0);
             rest = others;
         }
@@ -293,7 +293,7 @@
     /// What is left of each group.
     pub fn left(&self) -> BTreeMap<u32, Left> {
         let one = |(&id, g): (&u32, &Group)| {
-            let asked = self.asked(id);
+            let asked = self.offered_work(id);
             let part = |work: f64, of: f64| if of > 0.0 { 1.0 - work / of } else { 0.0 };
             let (all, seen) = self.capacity(id, false);
             let headroom = part(asked.iter().sum(), all);
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use sillfold_lab::{Agent, Capacity, Client, Entry, Group, Host, Options, Proxy, address, settings};
-use sillfold_plan::answers::most_times;
+use sillfold_plan::answers::max_load_multiple;
 use sillfold_plan::fleet::{Fleet, Load, Need};
 use sillfold_plan::model::Change;
 use std::collections::BTreeMap;
@@ -43,7 +43,7 @@
     number: usize,
 }
 
-fn read<T: sillfold_conf::Whole>(path: &Path) -> io::Result<T> {
+fn read<T: sillfold_conf::Configuration>(path: &Path) -> io::Result<T> {
     let text = sillfold_conf::text(path).map_err(io::Error::other)?;
     sillfold_conf::parse(&path.display().to_string(), &text).map_err(|e| io::Error::other(e.join("; ")))
 }
@@ -209,7 +209,8 @@
 fn case(path: &Path, program: &str, plan: &Plan) -> io::Result<String> {
     let fleet: Fleet = read(&path.join("fleet.json5"))?;
     let load: Load = read(&path.join("load.json5"))?;
-    let each = (0..fleet.groups.len()).map(|i| most_times(&fleet, &load, i, plan.goal, &Change::default()));
+    let each =
+        (0..fleet.groups.len()).map(|i| max_load_multiple(&fleet, &load, i, plan.goal, &Change::default()));
     let told = each.fold(f64::INFINITY, f64::min);
     // Far enough round what is told that it would be seen to be wrong.
     let (mut low, mut high) = (told * 0.5, told * 1.6);
--- a/crates/plan/src/answers.rs
+++ b/crates/plan/src/answers.rs
@@ -1,8 +1,8 @@
-//! The answers: what saturates first, how many hosts a goal needs, what a loss does, what if. It owns the questions,
-//! and the intervals round every answer. It must never give a figure without saying on which input it hangs most.
+//! The questions that the planner answers: what saturates first, how many hosts a goal needs, what an outage does, and
+//! what-if questions. Every figure comes with its interval and the input to which it is most sensitive.
 
 use crate::fleet::{Fleet, Group, Load, Member, Need};
-use crate::model::{Change, Resource, Rest, busy, rest, shares};
+use crate::model::{Change, Resource, SteadyStates, shares, steady_states, utilizations};
 use serde::Serialize;
 
 /// Groups that are looked at closely where there are very many: those that are busiest.
@@ -10,7 +10,7 @@
 /// The most of a load that is looked for.
 const MOST_TIMES: f64 = 1_000.0;
 
-/// A figure with its interval, and the input that moves it most.
+/// A figure with its interval, and the input to which it is most sensitive.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Figure {
     /// The figure.
@@ -19,7 +19,7 @@
     pub low: f64,
     /// Its upper end.
     pub high: f64,
-    /// The input on which it hangs most.
+    /// The input to which it is most sensitive.
     pub hangs_on: String,
 }
 
@@ -128,8 +128,8 @@
     pub goal: Figure,
     /// The group whose goal that is.
     pub goal_group: u32,
-    /// Where the goal would be met, and from where the fleet will not come back by itself: the least multiple
-    /// that has two states, if one under twice the goal's has.
+    /// The least multiple with a second, metastable state, which the fleet does not leave by itself; none if no
+    /// multiple under twice the goal's has one.
     pub trap: Option<f64>,
 }
 
@@ -139,7 +139,7 @@
 fn limits(fleet: &Fleet, load: &Load, change: &Change) -> Vec<Bare> {
     let mut out = Vec::new();
     for (i, (g, share)) in fleet.groups.iter().zip(shares(fleet, load)).enumerate() {
-        let found = busy(fleet, g, load, share, change);
+        let found = utilizations(fleet, g, load, share, change);
         out.extend(found.into_iter().filter(|b| b.1 > 0.0).map(|(r, b)| (r, Some(i), 1.0 / b)));
     }
     let all: f64 = load.classes.values().map(|c| c.per_s).sum::<f64>() * change.load;
@@ -158,7 +158,7 @@
     let found = match which.1 {
         Some(i) => {
             let share = shares(fleet, load)[i];
-            busy(fleet, &fleet.groups[i], load, share, change)
+            utilizations(fleet, &fleet.groups[i], load, share, change)
                 .into_iter()
                 .find(|b| b.0 == which.0)
                 .map(|b| 1.0 / b.1.max(1e-12))
@@ -168,12 +168,12 @@
     found.unwrap_or(MOST_TIMES).min(MOST_TIMES)
 }
 
-/// The greatest multiple at which a group's every class is served in time at this share; 0 if none is.
-pub fn most_times(fleet: &Fleet, load: &Load, group: usize, goal: f64, change: &Change) -> f64 {
+/// The greatest multiple of the load at which this share of each class of a group is served in time; 0 if none is.
+pub fn max_load_multiple(fleet: &Fleet, load: &Load, group: usize, goal: f64, change: &Change) -> f64 {
     let share = shares(fleet, load)[group];
     let met = |times: f64| {
         let change = Change { load: change.load * times, ..change.clone() };
-        rest(fleet, &fleet.groups[group], load, share, &change).better.worst() >= goal
+        steady_states(fleet, &fleet.groups[group], load, share, &change).better.worst() >= goal
     };
     if !met(1e-3) {
         return 0.0;
@@ -231,13 +231,13 @@
     });
     let limits = limits.collect();
     let near = busiest(fleet, load, change);
-    let least = near.iter().map(|&i| (i, most_times(fleet, load, i, goal, change)));
+    let least = near.iter().map(|&i| (i, max_load_multiple(fleet, load, i, goal, change)));
     let (at, times) = least.min_by(|a, b| a.1.total_cmp(&b.1)).unwrap_or((0, 0.0));
-    let goal_at = figure(fleet, load, |f, l| most_times(f, l, at, goal, change));
+    let goal_at = figure(fleet, load, |f, l| max_load_multiple(f, l, at, goal, change));
     let share = shares(fleet, load)[at];
     let trap = (1..=40).map(|k| times * f64::from(k) / 20.0).find(|&t| {
         let change = Change { load: change.load * t, ..change.clone() };
-        rest(fleet, &fleet.groups[at], load, share, &change).worse.is_some()
+        steady_states(fleet, &fleet.groups[at], load, share, &change).worse.is_some()
     });
     Saturation { limits, goal: goal_at, goal_group: fleet.groups[at].id, trap }
 }
@@ -257,7 +257,7 @@
     pub high: Option<u32>,
     /// Where no number does: what stands against it.
     pub bound_by: Option<String>,
-    /// The input on which it hangs most.
+    /// The input to which it is most sensitive.
     pub hangs_on: String,
 }
 
@@ -280,7 +280,7 @@
     let met = |replicas: u32| {
         let fleet = resized(fleet, group, replicas);
         let share = shares(&fleet, load)[group];
-        rest(&fleet, &fleet.groups[group], load, share, change).better.worst() >= goal
+        steady_states(&fleet, &fleet.groups[group], load, share, change).better.worst() >= goal
     };
     let mut high = 1;
     if met(0) {
@@ -326,7 +326,7 @@
 fn why_not(fleet: &Fleet, load: &Load, group: usize, change: &Change) -> String {
     let fleet = resized(fleet, group, MOST_REPLICAS);
     let share = shares(&fleet, load)[group];
-    let found = busy(&fleet, &fleet.groups[group], load, share, change);
+    let found = utilizations(&fleet, &fleet.groups[group], load, share, change);
     let primary = found.iter().find(|b| b.0 == Resource::PrimaryCores).map_or(0.0, |b| b.1);
     let apply = found.iter().find(|b| b.0 == Resource::ApplyThread).map_or(0.0, |b| b.1);
     if primary >= 0.6 || apply >= 0.6 {
@@ -340,7 +340,7 @@
     "a class's own work takes longer than its goal too often: faster cores, or another goal".into()
 }
 
-/// What is lost.
+/// What an outage takes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Lost {
     /// A machine room.
@@ -351,7 +351,7 @@
     BusiestPrimary,
 }
 
-/// What a loss does.
+/// The consequences of an outage.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Loss {
     /// Hosts that are gone.
@@ -376,7 +376,7 @@
         let one = match known {
             Some(m) => m.2,
             None => {
-                let one = rest(fleet, g, load, *share, change).better.worth();
+                let one = steady_states(fleet, g, load, *share, change).better.worth();
                 memo.push((&g.members, share.to_bits(), one));
                 one
             }
@@ -431,7 +431,7 @@
         else {
             continue;
         };
-        let before = rest(fleet, g, load, all[i], change).better.worth();
+        let before = steady_states(fleet, g, load, all[i], change).better.worth();
         let lost = fleet.cores(g, false) - {
             let mut left = g.clone();
             left.members.retain(|m| !hit(g, m));
@@ -443,7 +443,7 @@
         let back = (0..=40).map(|k| f64::from(k) / 40.0).find(|at| {
             let warmth = 1.0 - lost / whole * (1.0 - (cold + (1.0 - cold) * at));
             let change = Change { warmth, ..change.clone() };
-            let found: Rest = rest(fleet, g, load, all[i], &change);
+            let found: SteadyStates = steady_states(fleet, g, load, all[i], &change);
             // A group that was failing stays in the worse state as long as there is one.
             found.worse.unwrap_or(found.better).worth() >= 0.9 * before
         });
@@ -452,7 +452,7 @@
     Some(slowest)
 }
 
-/// What is, under some change.
+/// The state of the fleet under some change.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct WhatIf {
     /// The share of the worth that is served in time.
@@ -461,11 +461,11 @@
     pub classes: Vec<(String, f64)>,
     /// The share of bounded reads that replicas are too far behind for, where it is highest.
     pub out_of_bound: f64,
-    /// Tries for each first one, where they are most.
+    /// Attempts for each request, in the group where they are most.
     pub amplification: f64,
     /// The resource that is busiest, whose, and how busy.
     pub busiest: (String, String, f64),
-    /// Groups that have a worse state besides, from which they would not come back.
+    /// Groups that have a metastable worse state besides, which they would not leave by themselves.
     pub trapped: Vec<u32>,
 }
 
@@ -475,7 +475,7 @@
     let mut classes: Vec<(String, f64)> = Vec::new();
     let (mut out_of_bound, mut amplification, mut trapped) = (0.0f64, 1.0f64, Vec::new());
     for i in busiest(fleet, load, change) {
-        let found = rest(fleet, &fleet.groups[i], load, all[i], change);
+        let found = steady_states(fleet, &fleet.groups[i], load, all[i], change);
         for s in &found.better.served {
             match classes.iter_mut().find(|c| c.0 == s.class) {
                 Some(c) => c.1 = c.1.min(s.in_time),
--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -1,5 +1,5 @@
-//! The description of a fleet and of its load: what a planner is told. It owns the names, units and bounds of both.
-//! It must never hold a figure whose unit is not in its name or its text.
+//! The input of the planner: the description of a fleet and of its load, with the bounds of each field. The unit of a
+//! field is in its name or its comment.
 
 use garde::Validate;
 use schemars::JsonSchema;
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,5 +1,5 @@
-//! A model of a fleet's capacity: which resource saturates first and at what multiple of the load, how many hosts a
-//! goal needs, what a loss does and whether the fleet comes back. Pure: it is given a fleet and a load, and answers.
+//! A capacity model of a fleet: which resource saturates first and at what multiple of the load, how many hosts a goal
+//! needs, what an outage does and whether the fleet recovers. Pure: a function of a fleet and a load.
 //!
 //! ```
 //! use sillfold_plan::queue::Station;
--- a/crates/plan/src/model.rs
+++ b/crates/plan/src/model.rs
@@ -1,23 +1,24 @@
-//! One group under load: where its work goes, what is busy, who is served in time, and where the loop of failures
-//! and further tries comes to rest. It owns the fixed point. It must never report one state of a group that has
-//! two without saying so.
+//! The model of one group under load: the utilization of its resources, the share of each class served in time, and
+//! the steady state of the loop in which failed requests are retried and add to the load. The loop is solved as a
+//! fixed point; a group may have two, and both are then reported.
 
 use crate::fleet::{ClassLoad, Fleet, Group, Load, Need};
 use crate::queue::{Service, Station, mixed};
 use std::collections::BTreeMap;
 
-/// A station this busy is taken for full: formulas end at 1.
-const FULL: f64 = 0.985;
-/// Steps towards the fixed point, the part of the way that the first goes, after how many a step is half as long,
-/// and when the point counts as reached. Guards against a loop that swings round a steep point for ever.
-const STEPS: usize = 400;
-const PART: f64 = 0.4;
-const HALVED: f64 = 40.0;
-const REST: f64 = 1e-6;
-/// Two ends of the loop that differ by more than this are two states.
-const APART: f64 = 0.05;
+/// The utilization from which a station counts as saturated: the queueing formulas end at 1.
+const MAX_UTILIZATION: f64 = 0.985;
+/// The damped iteration towards the fixed point: its most steps, the part of the way that the first step goes, the
+/// number of steps after which a step is half as long, and the change below which the point counts as reached.
+/// Guards against an iteration that oscillates round a steep point for ever.
+const MAX_ITERATIONS: usize = 400;
+const FIRST_STEP: f64 = 0.4;
+const STEP_HALVED_AFTER: f64 = 40.0;
+const TOLERANCE: f64 = 1e-6;
+/// Two fixed points whose worth differs by more than this are two states.
+const DISTINCT_STATES: f64 = 0.05;
 
-/// Changes to what is, for questions that begin with "what if".
+/// Changes to the fleet and its load, for questions that begin with "what if".
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
     /// All of the load, this many times.
@@ -67,7 +68,7 @@
     }
 }
 
-/// What becomes of one class in one group.
+/// The service that one class gets in one group.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Served {
     /// Its name.
@@ -80,14 +81,14 @@
     pub worth: f64,
 }
 
-/// One state in which a group comes to rest.
+/// One steady state of a group.
 #[derive(Clone, Debug, PartialEq)]
 pub struct State {
-    /// What becomes of each class.
+    /// The service that each class gets.
     pub served: Vec<Served>,
-    /// How busy each resource of the group is, 1 being its bound.
+    /// The utilization of each resource of the group, 1 being its bound.
     pub busy: Vec<(Resource, f64)>,
-    /// Tries a second for each first one.
+    /// Attempts for each request: 1 where nothing is retried.
     pub amplification: f64,
     /// The share of bounded reads that replicas are too far behind for.
     pub out_of_bound: f64,
@@ -106,17 +107,17 @@
     }
 }
 
-/// Where a group comes to rest: from no failures, and from all failing if that is another state.
+/// The steady states of a group: the one reached from no failures, and the one reached from all failing if it differs.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Rest {
+pub struct SteadyStates {
     /// The better state.
     pub better: State,
-    /// The worse one, from which it will not come back by itself.
+    /// The worse one, a metastable state: the group does not leave it by itself.
     pub worse: Option<State>,
 }
 
 /// One class as a group sees it.
-struct Part<'a> {
+struct ClassDemand<'a> {
     name: &'a str,
     need: Need,
     /// First tries a second in this group.
@@ -132,9 +133,9 @@
     service: Service,
 }
 
-/// A group's hosts.
+/// What the hosts of a group can do.
 #[derive(Clone, Copy)]
-struct Hosts {
+struct HostCapacity {
     primary: f64,
     primary_servers: u32,
     replicas: u32,
@@ -158,9 +159,9 @@
     fleet.groups.iter().map(|g| if all > 0.0 { of(g) / all } else { 0.0 }).collect()
 }
 
-fn hosts(fleet: &Fleet, group: &Group, warmth: f64) -> Hosts {
+fn host_capacity(fleet: &Fleet, group: &Group, warmth: f64) -> HostCapacity {
     let kind = |name: &str| fleet.kinds.get(name);
-    let mut h = Hosts {
+    let mut h = HostCapacity {
         primary: 0.0,
         primary_servers: 1,
         replicas: 0,
@@ -194,12 +195,12 @@
     h
 }
 
-fn parts<'a>(fleet: &'a Fleet, load: &'a Load, share: f64, change: &Change) -> Vec<Part<'a>> {
+fn class_demands<'a>(fleet: &'a Fleet, load: &'a Load, share: f64, change: &Change) -> Vec<ClassDemand<'a>> {
     let part = |(name, c): (&'a String, &'a ClassLoad)| {
         let class = fleet.classes.get(name)?;
         let times = change.load * change.classes.get(name).copied().unwrap_or(1.0);
         let mean = c.mean_ms / 1e3;
-        Some(Part {
+        Some(ClassDemand {
             name,
             need: class.need,
             asked: c.per_s * share * times,
@@ -216,28 +217,28 @@
     load.classes.iter().filter_map(part).collect()
 }
 
-/// What one round of the loop makes of the shares that fail.
-struct Round {
+/// The result of one step of the iteration.
+struct Iteration {
     fails: Vec<f64>,
     busy: Vec<(Resource, f64)>,
     out_of_bound: f64,
 }
 
-/// Work a second of a class that hosts see, where this share of its tries fails: of the tries that fail only
-/// the wasted part is done.
-fn tries(p: &Part, fails: f64) -> (f64, f64) {
+/// The attempts a second of a class where this share of them fails, and those of them that hosts work on: of failed
+/// attempts only the wasted part.
+fn attempt_rates(p: &ClassDemand, fails: f64) -> (f64, f64) {
     let all: f64 = (0..=p.retries).map(|k| fails.powi(k as i32)).sum();
     (p.asked * all, p.asked * all * (1.0 - fails + fails * p.wasted))
 }
 
-fn round(parts: &[Part], h: &Hosts, apply: f64, fails: &[f64]) -> Round {
-    let worked: Vec<f64> = parts.iter().zip(fails).map(|(p, f)| tries(p, *f).1).collect();
+fn iterate(parts: &[ClassDemand], h: &HostCapacity, apply: f64, fails: &[f64]) -> Iteration {
+    let worked: Vec<f64> = parts.iter().zip(fails).map(|(p, f)| attempt_rates(p, *f).1).collect();
     let writes: f64 = parts.iter().zip(&worked).filter(|(p, _)| p.need == Need::Write).map(|(_, r)| *r).sum();
     // A replica that is cold applies no slower: the thread is one, and the log comes first.
     let log = Station { servers: 1, rate: writes, mean: apply / h.speed, cv2: 1.0 };
     let lag = Service::new(log.mean, 0.5);
-    let behind = |p: &Part| match p.need {
-        Need::Bounded if h.replicas == 0 || log.utilisation() >= FULL => 1.0,
+    let behind = |p: &ClassDemand| match p.need {
+        Need::Bounded if h.replicas == 0 || log.utilisation() >= MAX_UTILIZATION => 1.0,
         Need::Bounded if apply > 0.0 => log.late(&lag, p.bound),
         _ => 0.0,
     };
@@ -258,7 +259,8 @@
     // Replicas first; the primary takes what makes both equally busy.
     let at_primary = if cr > 0.0 { ((free * cp - cr * bound) / (cr + cp)).clamp(0.0, free) } else { free };
     let split = if free > 0.0 { at_primary / free } else { 0.0 };
-    let primary_share = |p: &Part, o: f64| if p.need == Need::Write { 1.0 } else { o + (1.0 - o) * split };
+    let primary_share =
+        |p: &ClassDemand, o: f64| if p.need == Need::Write { 1.0 } else { o + (1.0 - o) * split };
     let speed = |cores: f64, servers: u32| cores / f64::from(servers.max(1));
     let (sp, sr) =
         (speed(cp, h.primary_servers), speed(cr / f64::from(h.replicas.max(1)), h.replica_servers).max(1e-9));
@@ -273,16 +275,16 @@
             (r * (1.0 - primary_share(p, o)) / f64::from(h.replicas.max(1)), p.mean / sr, p.cv2)
         }),
     );
-    let late = |station: &Station, p: &Part, speed: f64| {
+    let late = |station: &Station, p: &ClassDemand, speed: f64| {
         let rho = station.utilisation();
         // Beyond what it can do the newest go first, so that what it does is in time, and the rest is not.
-        let (kept, station) = if rho > FULL {
-            (FULL / rho, Station { rate: station.rate * FULL / rho, ..*station })
+        let (kept, station) = if rho > MAX_UTILIZATION {
+            (MAX_UTILIZATION / rho, Station { rate: station.rate * MAX_UTILIZATION / rho, ..*station })
         } else {
             (1.0, *station)
         };
         // A slower core stretches the service: the goal shrinks instead.
-        let on_time = 1.0 - station_late(&station, p, speed);
+        let on_time = 1.0 - late_share(&station, p, speed);
         1.0 - kept * on_time
     };
     let fails = each()
@@ -295,7 +297,10 @@
     let written: f64 =
         parts.iter().zip(&worked).filter(|(p, _)| p.need == Need::Write).map(|(p, r)| p.mean * r).sum();
     let in_host = |s: &Station| {
-        let s = Station { rate: s.rate.min(s.rate * FULL / s.utilisation().max(FULL)), ..*s };
+        let s = Station {
+            rate: s.rate.min(s.rate * MAX_UTILIZATION / s.utilisation().max(MAX_UTILIZATION)),
+            ..*s
+        };
         s.rate * (s.mean_wait().min(1e6) + s.mean)
     };
     let mut busy = vec![
@@ -309,31 +314,31 @@
     let bounded: Vec<f64> =
         parts.iter().zip(&out).filter(|(p, _)| p.need == Need::Bounded).map(|(_, o)| *o).collect();
     let out_of_bound = bounded.iter().copied().fold(0.0, f64::max);
-    Round { fails, busy, out_of_bound }
+    Iteration { fails, busy, out_of_bound }
 }
 
-fn station_late(station: &Station, p: &Part, speed: f64) -> f64 {
+fn late_share(station: &Station, p: &ClassDemand, speed: f64) -> f64 {
     // In units of this host's core.
     let unit = Station { mean: station.mean * speed, rate: station.rate / speed, ..*station };
     unit.late(&p.service, p.goal * speed)
 }
 
-fn settle(parts: &[Part], h: &Hosts, apply: f64, from: f64) -> State {
+fn find_fixed_point(parts: &[ClassDemand], h: &HostCapacity, apply: f64, from: f64) -> State {
     let mut fails = vec![from; parts.len()];
-    let mut last = round(parts, h, apply, &fails);
-    for step in 0..STEPS {
-        let part = PART / (1.0 + step as f64 / HALVED);
+    let mut last = iterate(parts, h, apply, &fails);
+    for step in 0..MAX_ITERATIONS {
+        let part = FIRST_STEP / (1.0 + step as f64 / STEP_HALVED_AFTER);
         let moved = fails.iter().zip(&last.fails).map(|(a, b)| (a - b).abs()).fold(0.0, f64::max);
         fails.iter_mut().zip(&last.fails).for_each(|(a, b)| *a += part * (b - *a));
-        last = round(parts, h, apply, &fails);
-        if moved < REST {
+        last = iterate(parts, h, apply, &fails);
+        if moved < TOLERANCE {
             break;
         }
     }
     let (mut first, mut all) = (0.0, 0.0);
     let served = parts.iter().zip(&fails).map(|(p, f)| {
         first += p.asked;
-        all += tries(p, *f).0;
+        all += attempt_rates(p, *f).0;
         let in_time = 1.0 - f.powi(p.retries as i32 + 1);
         Served { class: p.name.to_string(), asked: p.asked, in_time, worth: p.worth }
     });
@@ -342,21 +347,23 @@
     State { served, busy: last.busy, amplification, out_of_bound: last.out_of_bound }
 }
 
-/// Where a group comes to rest under its share of a load.
-pub fn rest(fleet: &Fleet, group: &Group, load: &Load, share: f64, change: &Change) -> Rest {
-    let parts = parts(fleet, load, share, change);
-    let h = hosts(fleet, group, change.warmth);
+/// The steady states of a group under its share of a load.
+pub fn steady_states(fleet: &Fleet, group: &Group, load: &Load, share: f64, change: &Change) -> SteadyStates {
+    let parts = class_demands(fleet, load, share, change);
+    let h = host_capacity(fleet, group, change.warmth);
     let apply = load.apply_ms / 1e3 * change.apply;
-    let better = settle(&parts, &h, apply, 0.0);
-    let worse = settle(&parts, &h, apply, 1.0);
-    let apart = (better.worth() - worse.worth()).abs() > APART;
-    Rest { better, worse: apart.then_some(worse) }
+    let better = find_fixed_point(&parts, &h, apply, 0.0);
+    let worse = find_fixed_point(&parts, &h, apply, 1.0);
+    let apart = (better.worth() - worse.worth()).abs() > DISTINCT_STATES;
+    SteadyStates { better, worse: apart.then_some(worse) }
 }
 
-/// How busy each resource is without queues, failures or further tries: what is in proportion to the load.
-pub fn busy(fleet: &Fleet, group: &Group, load: &Load, share: f64, change: &Change) -> Vec<(Resource, f64)> {
-    let parts = parts(fleet, load, share, change);
-    let h = hosts(fleet, group, change.warmth);
+/// The utilization of each resource without queues, failures or retries: what is in proportion to the load.
+pub fn utilizations(
+    fleet: &Fleet, group: &Group, load: &Load, share: f64, change: &Change,
+) -> Vec<(Resource, f64)> {
+    let parts = class_demands(fleet, load, share, change);
+    let h = host_capacity(fleet, group, change.warmth);
     let work = |need: fn(Need) -> bool| -> f64 {
         parts.iter().filter(|p| need(p.need)).map(|p| p.asked * p.mean).sum()
     };
--- a/crates/plan/tests/plan.rs
+++ b/crates/plan/tests/plan.rs
@@ -4,7 +4,7 @@
 use proptest::test_runner::RngSeed;
 use sillfold_plan::answers::*;
 use sillfold_plan::fleet::*;
-use sillfold_plan::model::{Change, busy, rest};
+use sillfold_plan::model::{Change, steady_states, utilizations};
 use sillfold_plan::queue::{Service, Station, mixed};
 use std::collections::BTreeMap;
 
@@ -153,7 +153,7 @@
     // Just so many: one fewer misses, by the same model.
     let share = |replicas| {
         let f = fleet(1, replicas);
-        rest(&f, &f.groups[0], &load(200.0, 60.0, 5.0), 1.0, &quiet()).better.worst()
+        steady_states(&f, &f.groups[0], &load(200.0, 60.0, 5.0), 1.0, &quiet()).better.worst()
     };
     assert!(share(needs - 1) >= 0.95 && share(needs - 2) < 0.95);
 }
@@ -195,7 +195,7 @@
     let trap = trapped.trap.expect("two states");
     assert!(trap < trapped.goal.value, "{trap} under {}", trapped.goal.value);
     let change = Change { load: trap.max(trapped.goal.value * 0.9), ..quiet() };
-    let found = rest(&f, &f.groups[0], &l, 1.0, &change);
+    let found = steady_states(&f, &f.groups[0], &l, 1.0, &change);
     let worse = found.worse.expect("a worse state");
     assert!(found.better.worth() > 0.9 && worse.worth() < 0.6, "{} {}", found.better.worth(), worse.worth());
     assert!(worse.amplification > 2.0);
@@ -285,19 +285,19 @@
         let mut l = load(browse, history, ingest);
         l.apply_ms = apply;
         l.classes.values_mut().for_each(|c| c.cv2 = cv2);
-        let times = |replicas: u32| most_times(&fleet(1, replicas), &l, 0, 0.9, &quiet());
+        let times = |replicas: u32| max_load_multiple(&fleet(1, replicas), &l, 0, 0.9, &quiet());
         let (few, more) = (times(replicas), times(replicas + 1));
         // The first replica brings apply with it, and a bounded read may then meet one that is behind.
         let first = if replicas == 0 { 0.9 } else { 0.999 };
         prop_assert!(more >= few * first, "{} hosts {}, one more {}", replicas + 1, few, more);
         let primary = |replicas: u32| {
             let f = fleet(1, replicas);
-            busy(&f, &f.groups[0], &l, 1.0, &quiet())[0].1
+            utilizations(&f, &f.groups[0], &l, 1.0, &quiet())[0].1
         };
         prop_assert_eq!(primary(replicas), primary(replicas + 1));
         // More load never serves more of it, and everything stays a share.
         let f = fleet(1, replicas);
-        let at = |load| rest(&f, &f.groups[0], &l, 1.0, &Change { load, ..quiet() }).better;
+        let at = |load| steady_states(&f, &f.groups[0], &l, 1.0, &Change { load, ..quiet() }).better;
         let (light, heavy) = (at(0.5), at(2.0));
         prop_assert!(light.worth() >= heavy.worth() - 1e-6);
         prop_assert!(heavy.served.iter().all(|s| (0.0..=1.0 + 1e-9).contains(&s.in_time)));
--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -155,7 +155,7 @@
     let fleet: Fleet = sillfold_conf::parse(&name, &text)?;
     let place = |fault: &String| {
         let key = fault.split(": ").next().unwrap_or("");
-        format!("{name}:{}: {fault}", sillfold_conf::place(&text, key))
+        format!("{name}:{}: {fault}", sillfold_conf::locate(&text, key))
     };
     let faults: Vec<String> = fleet.faults().iter().map(place).collect();
     if faults.is_empty() { Ok(fleet) } else { Err(faults) }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -26,7 +26,7 @@
 pub use sillfold_sql as sql;
 pub use writes::OwnWrites;
 
-use sillfold_sql::{Additions, Bounds, Control, Effect, Functions, Reading, Uncarried, Unreadable, judge};
+use sillfold_sql::{Additions, Bounds, Control, Effect, Functions, Reading, Unreadable, Unsupported, judge};
 use std::borrow::Cow;
 use std::rc::Rc;
 
@@ -108,8 +108,8 @@
 impl Read {
     /// What it says of transactions.
     pub fn control(&self) -> Option<Control> {
-        match self.shape.analysis.uncarried {
-            Some(Uncarried::Transaction(control)) => Some(control),
+        match self.shape.analysis.unsupported {
+            Some(Unsupported::Transaction(control)) => Some(control),
             _ => None,
         }
     }
@@ -117,7 +117,7 @@
     /// Where it goes by its effect alone.
     pub fn target(&self) -> Target {
         match self.effect {
-            _ if self.shape.analysis.uncarried.is_some() => Target::Refuse,
+            _ if self.shape.analysis.unsupported.is_some() => Target::Refuse,
             Effect::Read if self.statements == 1 => Target::Replica,
             Effect::Read | Effect::Write => Target::Primary,
             Effect::Session | Effect::Invalid => Target::Refuse,
@@ -225,12 +225,12 @@
     pub fn route(&self, read: &Read, text: &str, user: &str, database: &str) -> Result<Route, Refusal> {
         let analysis = &read.shape.analysis;
         if let Some(what) =
-            analysis.uncarried.or((read.effect == Effect::Session).then_some(Uncarried::Session))
+            analysis.unsupported.or((read.effect == Effect::Session).then_some(Unsupported::Session))
         {
             let what = match what {
-                Uncarried::Transaction(_) => "no transaction is kept here",
-                Uncarried::Session => "no state of a session is kept here",
-                Uncarried::Copy => "no data stream is carried here",
+                Unsupported::Transaction(_) => "no transaction is kept here",
+                Unsupported::Session => "no state of a session is kept here",
+                Unsupported::Copy => "no data stream is carried here",
             };
             return Err(Refusal::NotCarried(format!("{what}: {}", read.why)));
         }
--- a/crates/sql/src/analysis.rs
+++ b/crates/sql/src/analysis.rs
@@ -41,7 +41,7 @@
 
 /// What this side cannot carry, whatever the rules say.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Uncarried {
+pub enum Unsupported {
     /// BEGIN and what belongs to it; of several, the last that begins or ends one.
     Transaction(Control),
     /// State of a session.
@@ -88,7 +88,7 @@
     /// Why, for whoever asks.
     pub why: Cow<'static, str>,
     /// What stands against carrying it at all.
-    pub uncarried: Option<Uncarried>,
+    pub unsupported: Option<Unsupported>,
     /// Its tables, as written, each once.
     pub tables: Vec<Box<str>>,
     /// Columns that every row concerned has equal to a literal.
@@ -103,7 +103,7 @@
         Analysis {
             effect: Effect::Read,
             why: Cow::Borrowed(""),
-            uncarried: None,
+            unsupported: None,
             tables: Vec::new(),
             keys: Vec::new(),
             features: Features::default(),
--- a/crates/sql/src/functions.rs
+++ b/crates/sql/src/functions.rs
@@ -9,7 +9,7 @@
 
 /// What a call of a function does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Known {
+pub enum FunctionKind {
     /// Nothing beyond its value.
     Harmless,
     /// The same, over many rows.
@@ -31,7 +31,7 @@
 
 /// All functions that are known, by the name under which statements call them.
 pub struct Functions {
-    known: HashMap<Box<str>, Known>,
+    known: HashMap<Box<str>, FunctionKind>,
     effects: HashSet<Box<str>>,
 }
 
@@ -48,13 +48,13 @@
         let lines = LIST.lines().filter(|_| !additions.without_builtin);
         for (kind, names) in lines.filter_map(|l| l.split_once(':')).filter(|l| !l.0.starts_with('#')) {
             let kind = match kind {
-                "aggregate" => Known::Aggregate,
-                "session" => Known::Session,
-                _ => Known::Harmless,
+                "aggregate" => FunctionKind::Aggregate,
+                "session" => FunctionKind::Session,
+                _ => FunctionKind::Harmless,
             };
             known.extend(names.split_whitespace().map(|n| (Box::from(n), kind)));
         }
-        known.extend(additions.harmless.iter().map(|n| (Box::from(n.as_str()), Known::Harmless)));
+        known.extend(additions.harmless.iter().map(|n| (Box::from(n.as_str()), FunctionKind::Harmless)));
         let effects: HashSet<Box<str>> = additions.effects.iter().map(|n| Box::from(n.as_str())).collect();
         known.retain(|name, _| !effects.contains(name));
         Functions { known, effects }
@@ -62,7 +62,7 @@
 
     /// What is known of a function by its parts, names in quotes without them. A list name counts bare or in
     /// `pg_catalog`, one of operators as they wrote it.
-    pub fn get(&self, parts: &[impl AsRef<str>]) -> Option<Known> {
+    pub fn get(&self, parts: &[impl AsRef<str>]) -> Option<FunctionKind> {
         match parts {
             [name] => self.known.get(name.as_ref()).copied(),
             [schema, name] if schema.as_ref() == "pg_catalog" && !name.as_ref().contains('.') => {
--- a/crates/sql/src/judge.rs
+++ b/crates/sql/src/judge.rs
@@ -2,7 +2,7 @@
 //! syntax tree; of two effects the stricter counts. It must never see the statement itself: the result is a
 //! function of the shape and of the lists of functions, of nothing else.
 
-use crate::analysis::{Analysis, Effect, Uncarried};
+use crate::analysis::{Analysis, Effect, Unsupported};
 use crate::functions::Functions;
 use crate::scan::Scan;
 use crate::tree;
@@ -41,7 +41,7 @@
     }
     let mut analysis = scan.analysis;
     // Utility statements are told by their first words alone; the parser knows few of them.
-    let parse = shape.len() <= bounds.parsed && !too_deep && analysis.uncarried.is_none() && !scan.utility;
+    let parse = shape.len() <= bounds.parsed && !too_deep && analysis.unsupported.is_none() && !scan.utility;
     if parse {
         match tree::analyse(shape, functions) {
             Ok(tree) => {
@@ -54,8 +54,8 @@
         // Whatever the tokens say: what only one of the two analyses has seen is no read.
         analysis.raise(Effect::Write, "it is not parsed");
     }
-    if analysis.effect == Effect::Session && analysis.uncarried.is_none() {
-        analysis.uncarried = Some(Uncarried::Session);
+    if analysis.effect == Effect::Session && analysis.unsupported.is_none() {
+        analysis.unsupported = Some(Unsupported::Session);
     }
     if analysis.why.is_empty() {
         analysis.why = "a query of known functions only".into();
--- a/crates/sql/src/lib.rs
+++ b/crates/sql/src/lib.rs
@@ -22,7 +22,7 @@
 mod scan;
 mod tree;
 
-pub use analysis::{Analysis, Control, Effect, Features, Key, Uncarried};
-pub use functions::{Additions, Functions, Known};
+pub use analysis::{Analysis, Control, Effect, Features, Key, Unsupported};
+pub use functions::{Additions, FunctionKind, Functions};
 pub use judge::{Bounds, judge};
 pub use lex::{Reading, Slot, Unreadable, literal_text};
--- a/crates/sql/src/scan.rs
+++ b/crates/sql/src/scan.rs
@@ -2,8 +2,8 @@
 //! grammar, so that no misread grammar can hide a write. It must never take a word that it does not know for
 //! a harmless one.
 
-use crate::analysis::{Analysis, Control, Effect, Uncarried};
-use crate::functions::{Functions, Known};
+use crate::analysis::{Analysis, Control, Effect, Unsupported};
+use crate::functions::{FunctionKind, Functions};
 use crate::lex::{Token, tokens};
 
 /// Words with which a statement that only reads may begin.
@@ -157,16 +157,16 @@
                     _ => Control::Within,
                 };
                 // Transactions outrank what else can't be carried, and the last one counts.
-                let known = matches!(self.analysis.uncarried, Some(Uncarried::Transaction(_)));
+                let known = matches!(self.analysis.unsupported, Some(Unsupported::Transaction(_)));
                 if !known || control != Control::Within {
-                    self.analysis.uncarried = Some(Uncarried::Transaction(control));
+                    self.analysis.unsupported = Some(Unsupported::Transaction(control));
                 }
                 self.analysis
                     .raise(Effect::Session, format!("{} belongs to a transaction", first.to_uppercase()));
                 false
             }
             _ if SESSION.contains(&first) => {
-                self.analysis.uncarried = self.analysis.uncarried.or(Some(Uncarried::Session));
+                self.analysis.unsupported = self.analysis.unsupported.or(Some(Unsupported::Session));
                 self.analysis
                     .raise(Effect::Session, format!("{} belongs to a session", first.to_uppercase()));
                 false
@@ -177,7 +177,7 @@
                 false
             }
             "copy" => {
-                self.analysis.uncarried = self.analysis.uncarried.or(Some(Uncarried::Copy));
+                self.analysis.unsupported = self.analysis.unsupported.or(Some(Unsupported::Copy));
                 self.analysis.raise(Effect::Write, "COPY has a data stream, and may write");
                 false
             }
@@ -207,7 +207,7 @@
         if first == "explain" {
             let run = (1..tokens.len()).map(word).find(|w| ["execute", "prepare", "declare"].contains(w));
             if let Some(run) = run {
-                self.analysis.uncarried = self.analysis.uncarried.or(Some(Uncarried::Session));
+                self.analysis.unsupported = self.analysis.unsupported.or(Some(Unsupported::Session));
                 self.analysis.raise(Effect::Session, format!("{} belongs to a session", run.to_uppercase()));
             }
             if (1..tokens.len()).any(|i| ["create", "refresh"].contains(&word(i))) {
@@ -325,8 +325,8 @@
             return;
         }
         match self.functions.get(&parts) {
-            Some(Known::Harmless | Known::Aggregate) => {}
-            Some(Known::Session) => {
+            Some(FunctionKind::Harmless | FunctionKind::Aggregate) => {}
+            Some(FunctionKind::Session) => {
                 let what = parts.join(".");
                 self.analysis.raise(Effect::Session, format!("{what}() belongs to a session"));
             }
--- a/crates/sql/src/tree.rs
+++ b/crates/sql/src/tree.rs
@@ -3,7 +3,7 @@
 //! a node that it does not know for a harmless one.
 
 use crate::analysis::{Analysis, Effect, Features, Key};
-use crate::functions::{Functions, Known};
+use crate::functions::{FunctionKind, Functions};
 use crate::lex::{Token, tokens};
 use sqlparser::ast::{
     BinaryOperator, Delete, Distinct, Expr, FromTable, GroupByExpr, Ident, InTarget, Insert, LimitClause,
@@ -194,9 +194,9 @@
             name.0.iter().map(|p| p.as_ident().map(|i| i.value.as_str())).collect();
         let known = parts.as_deref().and_then(|p| self.functions.get(p));
         match known {
-            Some(Known::Harmless) => {}
-            Some(Known::Aggregate) => self.analysis.features.aggregates += 1,
-            Some(Known::Session) => {
+            Some(FunctionKind::Harmless) => {}
+            Some(FunctionKind::Aggregate) => self.analysis.features.aggregates += 1,
+            Some(FunctionKind::Session) => {
                 self.analysis.raise(Effect::Session, format!("{name}() belongs to a session"))
             }
             None => {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -6,7 +6,7 @@
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use sillfold_conf::place;
+use sillfold_conf::locate;
 use sillfold_route::sql::{Additions, Bounds};
 use sillfold_route::{Band, Classes, Group, Options, Pattern, Rule, faults};
 use std::collections::{BTreeMap, BTreeSet};
@@ -352,18 +352,18 @@
         let at = |rule: &str| names.iter().position(|n| *n == rule).unwrap_or(0);
         for (i, rule) in names.iter().enumerate().filter(|(i, n)| at(n) != *i) {
             let key = format!("statements.rules[{i}].name");
-            findings.errors.push(format!("{name}:{}: {key}: {rule:?} is another rule's", place(text, &key)));
+            findings.errors.push(format!("{name}:{}: {key}: {rule:?} is another rule's", locate(text, &key)));
         }
         if file.statements.enabled && names.is_empty() {
             let what = "no rule, so that every plain statement is refused";
-            findings.errors.push(format!("{name}:{}: statements.rules: {what}", place(text, "statements")));
+            findings.errors.push(format!("{name}:{}: statements.rules: {what}", locate(text, "statements")));
         }
         let rules: Vec<Rule> = file.statements.rules.iter().map(RuleConf::rule).collect();
         for fault in faults(&rules, classes.filter(|_| file.statements.enabled)) {
             use sillfold_route::Fault::{Overlap, Shadowed, Unreachable};
             let (Unreachable(rule, _) | Shadowed(rule, _) | Overlap(_, rule)) = &fault;
             let key = format!("statements.rules[{}]", at(rule));
-            let line = format!("{name}:{}: {key}: {fault}", place(text, &key));
+            let line = format!("{name}:{}: {key}: {fault}", locate(text, &key));
             let list = if fault.is_error() { &mut findings.errors } else { &mut findings.notes };
             list.push(line);
         }
