Take no claim to be the primary from an answer that was heard in part

Change: of an answer that is not whole only what binds is kept, a lost role, which is told at once (`Connection::answer`).

--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -700,7 +700,8 @@
                 Ok(Backend::ReadyForQuery) => break None,
                 Ok(Backend::ParameterStatus { name, value }) => {
                     note_from(&mut note, &name, &value);
-                    heard.set(note);
+                    // Heard at the end of an attempt that waits out its time, a claim to be the primary is an old one.
+                    heard.set(Report { role: note.role.filter(|role| *role == Role::Replica), ..note });
                 }
                 Ok(Backend::RowDescription(mut columns)) if columns.len() == 1 => column = columns.pop(),
                 Ok(Backend::DataRow(mut values)) if values.len() == 1 && value.is_none() => {
