--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -138,6 +138,25 @@
     leaves_as_the_answer_comes(&[write("1", 20_000), read("2", "history", 20_000)], Reply::Row("v"));
 }
 
+/// A session at a host comes up while its client leaves: both are seen at once, longer after the departure than an attempt
+/// may begin.
+#[test]
+fn no_attempt_begins_as_its_connection_comes_up_for_a_client_that_left() {
+    let host = served("v");
+    host.hold_sessions();
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    client.send(&query(&read("1", "history", 20_000)));
+    assert_eq!(host.next(), Seen::Opened);
+    proxy.freeze();
+    drop(client);
+    host.release_sessions();
+    host.session_up();
+    proxy.thaw();
+    assert_eq!(proxy.client().ask(&read("9", "history", 9_000)).value.as_deref(), Some("v"));
+    assert!(host.query().contains("id=9,"));
+}
+
 /// It has sent more than is read ahead, so its end is behind bytes that nobody reads.
 #[test]
 fn a_departure_behind_more_than_is_read_ahead_withdraws_the_attempt() {
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -86,6 +86,11 @@
 /// So many routers, of which one gets several times the mean and most little, ask a group for so many times what it can
 /// do; all members but the primary, or so many of them, start anew.
 fn day(routers: u32, load: f64, anew: u32, seed: u64) -> Worst {
+    day_with_clocks(routers, load, anew, seed, 0)
+}
+
+/// The same, where the clock by which starts are told differs from the routers' by so much.
+fn day_with_clocks(routers: u32, load: f64, anew: u32, seed: u64, ahead: i64) -> Worst {
     let mut lots = oorandom::Rand64::new(u128::from(seed) * 1_000 + u128::from(routers));
     let mut all: Vec<Router> = (0..routers)
         .map(|n| Router::new(Settings { ordinal: n, ..settings(routers) }, seed * 10_007 + u64::from(n)))
@@ -104,6 +109,7 @@
         started,
     };
     let start = T0 + 2_000 * MS;
+    let told_start = start.saturating_add_signed(ahead);
     let mut due: BTreeMap<(Micros, u64), (usize, Happens)> = BTreeMap::new();
     let mut number = 0;
     let mut put = |due: &mut BTreeMap<_, _>, at: Micros, router: usize, what: Happens| {
@@ -134,7 +140,7 @@
         }
         if now >= start && !told {
             told = true;
-            let news: Vec<Entry> = (0..anew).map(|k| entry(MEMBERS - k, start)).collect();
+            let news: Vec<Entry> = (0..anew).map(|k| entry(MEMBERS - k, told_start)).collect();
             for router in &mut all {
                 router.handle(
                     now,
@@ -229,3 +235,18 @@
         }
     }
 }
+
+/// A machine's wall clock may be behind the servers' as its router starts, or ahead: a server whose start is told then
+/// is as cold as any other.
+#[test]
+fn a_server_whose_start_is_told_by_another_clock_is_cold() {
+    for ahead_ms in [2, 5_000, 3_600_000] {
+        for (routers, load, anew) in [(1, 1.0, 1), (3, 1.5, 2), (30, 1.5, 1)] {
+            let seed = u64::from(routers) + 40;
+            let worst = day_with_clocks(routers, load, anew, seed, ahead_ms * MS as i64);
+            let told = format!("seed {seed}: {routers} routers, {ahead_ms} ms ahead, {anew} anew: {worst:?}");
+            assert!(worst.sent as f64 <= worst.budget, "{told}");
+            assert!(worst.cold * 100 > worst.all, "{told}");
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -104,6 +104,8 @@
     connections: Arc<Mutex<Vec<TcpStream>>>,
     /// Told after each reply is written.
     replies: Receiver<()>,
+    /// Told after each session's beginning is written.
+    sessions: Receiver<()>,
     /// By how much sessions come up late, but for the first.
     late: Arc<Mutex<Duration>>,
     /// Shut while no session may come up.
@@ -138,6 +140,7 @@
         let connections: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let accepted = connections.clone();
         let (replied, replies) = channel();
+        let (began, sessions) = channel();
         let late: Arc<Mutex<Duration>> = Arc::default();
         let delay = late.clone();
         let gate: Arc<Gate> = Arc::default();
@@ -153,19 +156,24 @@
                 } else {
                     Duration::ZERO
                 };
-                let (replied, gate) = (replied.clone(), held_at.clone());
+                let (replied, began, gate) = (replied.clone(), began.clone(), held_at.clone());
                 thread::spawn(move || {
                     let _ = tell.send(Seen::Opened);
                     thread::sleep(delay);
                     gate.pass();
-                    let _ = converse(stream, &*script, &count, (&tell, &replied));
+                    let _ = converse(
+                        stream,
+                        &*script,
+                        &count,
+                        Told { seen: &tell, replied: &replied, began: &began },
+                    );
                     // `end_connections` holds a copy.
                     let _ = own.shutdown(std::net::Shutdown::Both);
                     let _ = tell.send(Seen::Closed);
                 });
             }
         });
-        Host { address, seen, connections, replies, late, gate }
+        Host { address, seen, connections, replies, sessions, late, gate }
     }
     /// One whose first session comes up at once, and the others so much later; it closes on the first query.
     pub fn late(by: Duration) -> Host {
@@ -186,7 +194,7 @@
             }
         });
         let (connections, late, gate) = Default::default();
-        Host { address, seen, connections, replies: channel().1, late, gate }
+        Host { address, seen, connections, replies: channel().1, sessions: channel().1, late, gate }
     }
     /// Writes this to all of its connections and ends them.
     pub fn end_connections(&self, last: &[u8]) {
@@ -204,6 +212,11 @@
         self.gate.set(false);
     }
 
+    /// Waits until the next session's beginning has been written.
+    pub fn session_up(&self) {
+        self.sessions.recv_timeout(PATIENCE).expect("a session comes up");
+    }
+
     /// How many replies have been written that the test has not looked at; they count as looked at then.
     pub fn replies_so_far(&self) -> usize {
         self.replies.try_iter().count()
@@ -225,14 +238,21 @@
     }
 }
 
+/// Who is told of what happens on a host's connections.
+struct Told<'a> {
+    seen: &'a Sender<Seen>,
+    replied: &'a Sender<()>,
+    began: &'a Sender<()>,
+}
+
 fn converse(
-    mut s: TcpStream, script: &dyn Fn(usize, &str) -> Reply, count: &Mutex<usize>,
-    (tell, replied): (&Sender<Seen>, &Sender<()>),
+    mut s: TcpStream, script: &dyn Fn(usize, &str) -> Reply, count: &Mutex<usize>, told: Told<'_>,
 ) -> std::io::Result<()> {
     let mut len = [0; 4];
     s.read_exact(&mut len)?;
     s.read_exact(&mut vec![0; u32::from_be_bytes(len) as usize - 4])?;
     s.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())?;
+    let _ = told.began.send(());
     loop {
         let (kind, body) = read_message(&mut s)?;
         if kind != b'Q' {
@@ -245,7 +265,7 @@
             *count - 1
         };
         // Seen before it is answered: a script may wait for what the test does then.
-        let _ = tell.send(Seen::Query(text.clone()));
+        let _ = told.seen.send(Seen::Query(text.clone()));
         let reply = script(n, &text);
         match reply {
             Reply::Row(value) => s.write_all(&row(value))?,
@@ -260,7 +280,7 @@
                 }
             }
         }
-        let _ = replied.send(());
+        let _ = told.replied.send(());
     }
 }
 
