--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 #![forbid(unsafe_code)]
 
 pub mod api;
+pub mod invariants;
 pub mod logic;
 mod sessions;
 pub mod settings;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,7 @@
 //! What departs from that, and when, is listed in `docs/design.md`.
 
 use crate::api::*;
+use crate::invariants::{self, RequestStart, Start};
 use crate::mutants;
 use crate::sessions::{PRESENT, Sessions, committed_by};
 pub use crate::state::tail_adjusted;
@@ -371,18 +372,35 @@
         self.set.lag_check != LagCheck::Unchecked && !r.plain
     }
 
-    /// Whether the latest attempt of a request may still begin, asked as its connection is up and its first
-    /// byte is about to go. Since its server was chosen, that may have fallen behind or lost its role, a
-    /// write of the session may have begun or ended, and the window for repeats may be over.
-    pub fn may_begin(&mut self, now: Micros, id: RequestId) -> bool {
+    /// What the start of a request's latest attempt rests on, asked as its connection is up and its first byte is about
+    /// to go. Since its server was chosen, that may have fallen behind or lost its role, a write of the session may have
+    /// begun or ended, and the window for repeats may be over.
+    pub fn starts(&mut self, now: Micros, id: RequestId) -> RequestStart {
+        const OVER: RequestStart =
+            RequestStart { open: false, current: false, repeatable_until: 0, forgotten_at: Micros::MAX };
         self.now = self.now.max(now);
-        let Some(token) = self.requests.get(&id).map(|r| self.must_see(r)) else { return false };
+        let Some(token) = self.requests.get(&id).map(|r| self.must_see(r)) else { return OVER };
         self.requests.entry(id).and_modify(|r| r.token = token);
         let r = &self.requests[&id];
-        let Some((latest, before)) = r.attempts.split_last().filter(|_| !r.closed) else { return false };
+        let Some((latest, before)) = r.attempts.split_last().filter(|_| !r.closed) else { return OVER };
         let primary = self.groups.get(&r.group).and_then(|g| g.primary) == Some(latest.server);
         let current = primary || self.checked(r) || self.current_enough(latest.server, r);
-        (current && self.now < self.repeatable_until(r, before)) || mutants::on("attempts begin unchecked")
+        let effect = self.set.classes[r.class].effect;
+        let first = Attempt::may_have_run(before).map(|a| a.sent);
+        let repeatable_until = effect.repeatable_until(first, r.plain);
+        RequestStart {
+            open: true,
+            current,
+            repeatable_until,
+            forgotten_at: effect.forgotten_at(first, r.plain),
+        }
+    }
+
+    /// Whether the latest attempt of a request may begin, as far as the request tells.
+    pub fn may_begin(&mut self, now: Micros, id: RequestId) -> bool {
+        let request = self.starts(now, id);
+        let start = Start { off_for: None, drain_grace: 0, client_left: false, request };
+        invariants::may_start(&start, self.now).is_ok()
     }
 
     /// What an answer to what was sent at this time amounts to where it says itself that it is older than the
@@ -486,9 +504,9 @@
     }
 
     fn may_refuse(&self, r: &Request) -> bool {
-        let effect = self.set.classes[r.class].effect;
-        let repeatable = matches!(effect, Effect::Keyed(DedupScope::All, _)) && !r.plain;
-        effect == Effect::Safe || repeatable || Attempt::may_have_run(&r.attempts).is_none()
+        let may_have_run = Attempt::may_have_run(&r.attempts).is_some();
+        let refusable = invariants::may_refuse(self.set.classes[r.class].effect, may_have_run, r.plain);
+        refusable || mutants::on("refusals promise anything")
     }
 
     fn arrive(&mut self, a: &Arrival, coming: bool) {
@@ -573,6 +591,9 @@
         s.in_flight += u32::from(!r.coming);
         s.count(Q_OLD);
         self.out.push(Action::Send { id, server: s.id, timeout });
+        if mutants::on("attempts are ordered twice") {
+            self.out.push(Action::Send { id, server: s.id, timeout });
+        }
         if self.set.classes[r.class].need == Need::Write && self.set.tokens == Tokens::Remembered {
             self.sessions.begins(r.session);
         }
@@ -932,12 +953,8 @@
                 add_server(&mut self.servers, &mut self.index, &mut self.groups, e, (LIMIT, joined));
             }
             let i = self.index[&e.server];
-            self.servers[i].started_at(
-                e.started,
-                self.now,
-                self.set.safety.cold,
-                fresh && self.seen.listed_once,
-            );
+            let (new, news) = (fresh && self.seen.listed_once, kind == ListKind::Delta);
+            self.servers[i].started_at(e.started, self.now, self.set.safety.cold, new, news);
             self.listed_as(i, e.state);
             let Some(g) = self.groups.get_mut(&self.servers[i].group) else { continue };
             if e.primary && self.set.list_role != ListRole::Silent {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -5,13 +5,17 @@
 use super::admission::{Admission, Claim};
 use super::complain;
 use super::core::{Call, Clock, Core, fnv1a};
+use super::events::RefusalReason;
 use super::hosts::Hosts;
-use super::life::{Answer, Client, ClientWatch, Life, Verdict, give_up_at, pass_on_plain, pass_on_value};
+use super::life::{
+    Answer, Client, ClientWatch, Life, PassedOn, Verdict, give_up_at, pass_on_plain, pass_on_value,
+};
 use super::line::{Abandoned, Ahead, Came, Line, ReadAhead, put_fatal};
 use super::pipeline::{Entry, Footprint, Pipeline, Progress};
 use super::statements::{Statements, Terms, Turned};
 use super::world::{self, Listener, Spawner, Stream};
 use crate::Micros;
+use crate::invariants::{self, CloseReason, Violation};
 use crate::mutants;
 use crate::pg::{self, ErrorFields, Frontend, Malformed, Startup, Statement, code};
 use futures_lite::future;
@@ -25,8 +29,10 @@
 use std::time::Duration;
 use tracing::warn;
 
-/// The wait after a failed accept, so that a full table of descriptors does not make the loop spin.
+/// The wait after a failed accept, so that a full table of descriptors does not make the loop spin; and how often in a row
+/// one is tried again at a stop.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
+const ACCEPT_TRIES: u32 = 25;
 
 /// One connection may have requests open, each of which may need a connection to a host, up to one part in so many of
 /// these: several such clients at once leave room for others.
@@ -90,11 +96,20 @@
     }
 
     /// Takes what the machine has accepted already: those clients think they are connected.
-    pub fn accept_rest(self: &Rc<Clients>, listener: &Listener) {
+    pub async fn accept_rest(self: &Rc<Clients>, listener: &Listener) {
+        let mut tries = ACCEPT_TRIES;
         while let Some(stream) = listener.accept_now() {
             match stream {
-                Ok(stream) => self.begin(stream),
-                Err(e) => warn!(target: "clients", "accepting: {e}"),
+                Ok(stream) => {
+                    tries = ACCEPT_TRIES;
+                    self.begin(stream);
+                }
+                Err(e) if tries == 0 => return warn!(target: "clients", "accepting at the stop: {e}"),
+                Err(e) => {
+                    complain(|| format!("clients: accepting: {e}"));
+                    tries -= 1;
+                    world::after(ACCEPT_WAIT).await;
+                }
             }
         }
     }
@@ -107,16 +122,24 @@
             let mut out = Vec::new();
             put_fatal(&mut out, code::TOO_MANY_CONNECTIONS, "all connections are in use");
             stream.write_now(&out);
+            self.core.events.refused("", RefusalReason::Full);
         }
-        let Some((slot, refused)) = self.admission.place() else { return };
+        let Some((slot, refused)) = self.admission.place() else {
+            return self.core.events.closed(CloseReason::Full);
+        };
         let all = self.clone();
         let task = async move {
             // Given back only after the connection is closed.
             let mut slot = slot;
-            let watch = ClientWatch::default();
+            let stream = Rc::new(stream);
+            let watch = ClientWatch::new(stream.clone());
             let mut session = Session::new(&all, stream, &watch);
+            if refused {
+                session.line.end(CloseReason::Full);
+            }
             // An error here is the client's connection failing: there is nobody left to tell.
             let ended = refused || session.run().await.is_ok();
+            session.closes();
             session.pipeline.abandon();
             if ended && (!session.line.evicted || all.admission.vacate(&mut slot)) {
                 session.line.farewell().await;
@@ -171,6 +194,8 @@
     pipeline: Pipeline<'a>,
     /// What was read behind them, and has to wait until all are answered.
     held: Option<Next<'a>>,
+    /// The id of the request that was read and whose answer is not written yet.
+    unanswered: Option<String>,
     /// Who asks and where, as the startup message says; kept only where plain statements are served.
     who: Option<Box<(String, String)>>,
     /// What this session's plain statements have written.
@@ -193,10 +218,23 @@
 }
 
 impl<'a> Session<'a> {
-    fn new(all: &'a Rc<Clients>, stream: Stream, watch: &'a ClientWatch) -> Session<'a> {
+    fn new(all: &'a Rc<Clients>, stream: Rc<Stream>, watch: &'a ClientWatch) -> Session<'a> {
         let (who, own, block, told) = Default::default();
         let (line, pipeline) = (Line::new(&all.admission, stream), Pipeline::new(watch));
-        Session { all, line, watch, pipeline, held: None, who, own, block, told }
+        Session { all, line, watch, pipeline, held: None, unanswered: None, who, own, block, told }
+    }
+
+    /// The connection is about to be closed: tells why, and where it must not be.
+    fn closes(&self) {
+        let (reason, events) = (self.line.close_reason(), &self.all.core.events);
+        events.closed(reason);
+        let held = matches!(&self.held, Some(Next::Request(request)) if matches!(**request, Ok(Some(_))));
+        let unanswered = usize::from(self.unanswered.is_some()) + self.pipeline.len() + usize::from(held);
+        if !invariants::may_close(reason, unanswered) {
+            let id = self.unanswered.as_deref().unwrap_or("");
+            let about = format_args!("{unanswered} requests, the first of them id {id:?}, {reason:?}");
+            events.violated(Violation::ClosedUnanswered, &about);
+        }
     }
 
     /// From the startup packet to the end.
@@ -209,7 +247,10 @@
             let goes_on = match next {
                 Next::Message(message, came) => self.message(message, came, &mut skipping).await?,
                 Next::Request(read) => self.request(*read).await?,
-                Next::Malformed(e) => return self.line.fatal(code::PROTOCOL_VIOLATION, &e.0).await,
+                Next::Malformed(e) => {
+                    self.line.end(CloseReason::Malformed);
+                    return self.line.fatal(code::PROTOCOL_VIOLATION, &e.0).await;
+                }
             };
             if !goes_on {
                 return Ok(());
@@ -291,6 +332,7 @@
         };
         let abandoned = async { Some(self.line.abandoned(true).await) };
         if future::or(ready, abandoned).await == Some(Abandoned::ClientGone) {
+            self.line.end(CloseReason::ClientLeft);
             return Ok(false);
         }
         match self.all.admission.unready() {
@@ -319,6 +361,7 @@
             }
         };
         self.line.asked = true;
+        self.unanswered = Some(asked.statement.id.clone());
         // The answers to commands before this one do not wait for its own.
         self.line.flush().await?;
         let footprint = self.footprint(&asked.call);
@@ -349,6 +392,7 @@
         let answer = match progress {
             Progress::Answered(answer) => answer,
             Progress::Unanswered { mut serving, .. } => {
+                self.unanswered = Some(String::new());
                 self.flush().await?;
                 self.drive(serving.as_mut(), footprint, false).await
             }
@@ -501,6 +545,7 @@
             match self.read_request(beginning, came, left) {
                 Ok(Some(asked)) => {
                     self.line.asked = true;
+                    self.unanswered = Some(asked.statement.id.clone());
                     self.line.flush().await?;
                     let client = Client::Reading { line: &mut self.line, left: &mut left };
                     let mut life = self.all.life(client);
@@ -529,11 +574,19 @@
     async fn answer(
         &mut self, answer: Option<Answer>, of: Footprint, plain: Option<&Terms>,
     ) -> io::Result<bool> {
-        let Some(answer) = answer else { return Ok(false) };
+        let Some(answer) = answer else {
+            self.line.end(CloseReason::ClientLeft);
+            return Ok(false);
+        };
         if mutants::on("closes unanswered") {
+            self.line.end(CloseReason::Rested);
             return Ok(false);
         }
-        let Some(verdict) = self.pass_on(answer).await else { return Ok(false) };
+        let Some(verdict) = self.pass_on(answer).await else {
+            self.line.end(CloseReason::ValueBrokenOff);
+            return Ok(false);
+        };
+        self.unanswered = None;
         if let Some(terms) = plain {
             self.note_plain(terms, &verdict);
         }
@@ -553,10 +606,11 @@
     async fn pass_on(&mut self, answer: Answer) -> Option<Verdict> {
         let (line, hosts) = (&mut self.line, &self.all.hosts);
         match answer {
-            Answer::Long(long) => {
-                self.pipeline.beside(pass_on_value(line, hosts, long)).await?;
-                Some(Verdict::Passed)
-            }
+            Answer::Long(long) => match self.pipeline.beside(pass_on_value(line, hosts, long)).await {
+                PassedOn::Whole => Some(Verdict::Passed),
+                PassedOn::Nothing => Some(Verdict::Failed),
+                PassedOn::BrokenOff => None,
+            },
             Answer::Stream(stream) => {
                 let told_at = pass_on_plain(line, hosts, stream).await?;
                 // Where a commit was is told at the end.
@@ -639,6 +693,7 @@
         };
         if !core.knows_servers() {
             core.count(class, |c| &mut c.busy);
+            core.events.refused(&statement.id, RefusalReason::NoList);
             let refused = fields(code::CANNOT_CONNECT_NOW, "no database host is known yet".into());
             return Err(ErrorFields { retry_in_ms: advice(core.retry_in), ..refused }.into());
         }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -4,8 +4,10 @@
 //! never touch a socket, name a message of any protocol, or decide anything itself.
 
 use super::backoff;
+use super::events::{EventFigures, Events};
 use super::listing::{Listing, Status};
 use super::world;
+use crate::invariants::{RequestStart, Violation};
 use crate::mutants;
 use crate::settings::Dialect;
 use crate::talk;
@@ -144,6 +146,8 @@
     inflight: usize,
     hosts_listed: usize,
     hosts_down: usize,
+    #[serde(flatten)]
+    events: EventFigures,
     /// By group, where it is learnt.
     #[serde(skip_serializing_if = "Option::is_none")]
     headroom: Option<BTreeMap<GroupId, Left>>,
@@ -153,6 +157,8 @@
     orders: Sender<Order>,
     give_up_at: Micros,
     attempts: u8,
+    /// An attempt was ordered, and has not ended.
+    is_out: bool,
     /// Its last bytes are still to come: it is not taken yet.
     coming: bool,
 }
@@ -180,8 +186,10 @@
     /// When to come again after a refusal that is none of the module's; 0 where the settings allow no advice.
     pub retry_in: Micros,
     inner: RefCell<Inner>,
-    /// Whether each class drops repeats by a key.
-    keyed: Vec<bool>,
+    /// Closes, refusals, repeats and broken invariants.
+    pub events: Events,
+    /// What a second run of each class's requests does.
+    effects: Vec<Effect>,
     kept: Micros,
     /// For how long discovery may be silent before the list of before will have to do.
     silent: Duration,
@@ -211,7 +219,7 @@
         let retry_in = if limits.retry_after { limits.max_retry_after / 4 } else { 0 };
         let silent = if backoff::takes_turns(settings.routers) { Duration::ZERO } else { SILENT };
         let kept = settings.safety.cold.saturating_mul(KEPT_COLD);
-        let keyed = settings.classes.iter().map(|c| matches!(c.effect, Effect::Keyed(..))).collect();
+        let effects = settings.classes.iter().map(|c| c.effect).collect();
         let worth = |c: &crate::Class| HeadroomClass { worth: c.worth, writes: c.need == Need::Write };
         let worths = settings.classes.iter().map(worth).collect();
         let inner = Inner {
@@ -232,7 +240,8 @@
             dialect,
             retry_in,
             inner: RefCell::new(inner),
-            keyed,
+            events: Events::default(),
+            effects,
             kept,
             silent,
             timer_set: async_channel::bounded(1),
@@ -283,6 +292,7 @@
             inflight: inner.open.values().filter(|o| !o.coming).count(),
             hosts_listed,
             hosts_down,
+            events: self.events.figures(),
             headroom: self.headroom.borrow().as_ref().map(Headroom::left),
         }
     }
@@ -322,7 +332,12 @@
 
     /// Whether repeats of a class's requests are dropped by a key.
     pub fn is_keyed(&self, class: u8) -> bool {
-        self.keyed.get(usize::from(class)).copied().unwrap_or(false)
+        matches!(self.effect(class), Some(Effect::Keyed(..)))
+    }
+
+    /// What a second run of a class's requests does.
+    pub fn effect(&self, class: u8) -> Option<Effect> {
+        self.effects.get(usize::from(class)).copied()
     }
 
     /// Whether a class's requests write.
@@ -376,7 +391,9 @@
             let mut inner = self.inner.borrow_mut();
             inner.last_id = inner.last_id.wrapping_add(1);
             let id = inner.last_id;
-            inner.open.insert(id, Open { orders, give_up_at: call.give_up_at, attempts: 0, coming });
+            inner
+                .open
+                .insert(id, Open { orders, give_up_at: call.give_up_at, attempts: 0, is_out: false, coming });
             id
         };
         let now = self.clock.now();
@@ -528,7 +545,10 @@
                         span => open.give_up_at.min(self.clock.now().saturating_add(span)),
                     };
                     let order = Order::Attempt { server, number: open.attempts, until };
-                    open.attempts += 1;
+                    open.attempts = open.attempts.saturating_add(1);
+                    if std::mem::replace(&mut open.is_out, true) {
+                        self.events.violated(Violation::SecondAttempt, &format_args!("request {id}"));
+                    }
                     tell(open, order);
                 }
                 Action::Refuse { .. } | Action::Fail(_) if mutants::on("no final answer") => {}
@@ -664,9 +684,9 @@
         }
     }
 
-    /// Whether the attempt that was ordered last may still begin, asked as its first byte is about to go.
-    pub fn may_begin(&self) -> bool {
-        self.core.inner.borrow_mut().router.may_begin(self.core.clock.now(), self.id)
+    /// What the start of the attempt that was ordered last rests on, asked as its first byte is about to go.
+    pub fn starts(&self, now: Micros) -> RequestStart {
+        self.core.inner.borrow_mut().router.starts(now, self.id)
     }
 
     /// What this answer to what was sent at that time amounts to, where the module holds it to be too old.
@@ -688,6 +708,9 @@
     pub fn ended(&self, e: Ending) {
         let finished = self.answered.get() || e.outcome == Outcome::Ok;
         self.answered.set(finished);
+        if let Some(open) = self.core.inner.borrow_mut().open.get_mut(&self.id) {
+            open.is_out = false;
+        }
         let how = match e.outcome {
             Outcome::Ok => Tried::Served(e.latency.as_micros() as u64),
             Outcome::Miss => Tried::Missed,
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -7,6 +7,7 @@
 use super::listing::{Listing, Status};
 use super::world::{self, Spawner, Stream};
 use super::{Budget, Held, by, complain, read};
+use crate::invariants::{self, Denial, RequestStart, Start, Started};
 use crate::mutants;
 use crate::pg::{
     self, Backend, Column, ErrorFields, Inbox, Passed, Passing, PlainError, Row, Statement, code,
@@ -35,8 +36,8 @@
 /// A dial that got no answer for this long tells that its host is out of reach, whatever time-out dials have: a
 /// handshake takes some round trips, and reads that end before half of a long time-out would never find out.
 const TELLS: Duration = Duration::from_millis(100);
-/// This much before a drain's grace ends nothing more is written to the host.
-const DRAIN_MARGIN: Duration = Duration::from_millis(25);
+/// The wait before a connection is dialled again that could not be made for want of something on this machine.
+const SHORTAGE_WAIT: Duration = Duration::from_millis(10);
 
 /// A descriptor in the budget; dropping it gives it back.
 struct Slot(Rc<Cell<usize>>);
@@ -91,10 +92,21 @@
     pub stream: Option<Box<PlainAnswer>>,
 }
 
-/// A connection on which one attempt may be written.
+/// What a request's task knows as its attempt is about to start.
+#[derive(Clone, Copy)]
+pub struct Asking {
+    /// Its client has closed the connection.
+    pub client_left: bool,
+    pub request: RequestStart,
+}
+
+/// A connection on which one attempt may be written, and what that rests on.
 pub struct Opened {
     server: ServerId,
     connection: Connection,
+    start: Start,
+    /// When that was asked.
+    at: Micros,
 }
 
 impl Opened {
@@ -118,6 +130,8 @@
     /// Bytes of the value, and those still to come.
     pub value: usize,
     left: usize,
+    /// Until when its client waits, as long as nothing of it has come.
+    until: Instant,
     /// Where it is that to a write.
     pub write: Option<StreamedWrite>,
 }
@@ -127,7 +141,9 @@
     pub async fn piece(&mut self, out: &mut Vec<u8>) -> io::Result<usize> {
         let c = &mut self.opened.connection;
         if self.left > 0 && c.inbox.is_empty() {
-            let read = by(world::now() + STALLED, read(&c.stream, &mut c.inbox)).await;
+            let stalled = world::now() + STALLED;
+            let until = if self.left == self.value { stalled.min(self.until) } else { stalled };
+            let read = by(until, read(&c.stream, &mut c.inbox)).await;
             if read.unwrap_or_else(|| Err(ErrorKind::TimedOut.into()))? == 0 {
                 return Err(ErrorKind::UnexpectedEof.into());
             }
@@ -245,7 +261,7 @@
     most: Budget,
     dial_timeout: Duration,
     fresh: Duration,
-    drain_grace: Duration,
+    drain_grace: Micros,
     /// The startup message of every session.
     startup: Vec<u8>,
 }
@@ -262,7 +278,7 @@
             most: Budget::new(most),
             dial_timeout: Duration::from_micros(core.dialect.dial_timeout_us),
             fresh: Duration::from_micros(core.dialect.keepalive_us).mul_f64(FRESH),
-            drain_grace: Duration::from_micros(drain_grace),
+            drain_grace,
             core,
         }
     }
@@ -316,34 +332,47 @@
         }
     }
 
-    /// One attempt at a statement that is whole, from the choice of a connection to the answer. `may_begin` is asked
-    /// once its connection is up. It ends at `until` at the latest; dropping the future closes the connection, which
-    /// withdraws the attempt. `written` is called once the last byte is, and `heard` holds what its answer has told of
-    /// the server so far.
+    /// One attempt at a statement that is whole, from the choice of a connection to the answer. `asks` is called once its
+    /// connection is up. It ends at `until` at the latest; dropping the future closes the connection, which withdraws
+    /// the attempt. `written` is called once the last byte is, and `heard` holds what its answer has told of the server
+    /// so far.
     #[allow(clippy::too_many_arguments, reason = "all that an attempt depends on")]
     pub async fn attempt(
         &self, server: ServerId, statement: &Statement, writes: bool, until: Micros,
-        may_begin: impl Fn() -> bool, written: impl FnOnce(), heard: &Cell<Report>,
+        asks: impl Fn(Micros) -> Asking, written: impl FnOnce(), heard: &Cell<Report>,
     ) -> Attempted {
         let deadline = self.core.clock.instant(until);
-        let opened = match self.open(server, until, may_begin).await {
+        let opened = match self.open(server, &statement.id, until, asks).await {
             Ok(opened) => opened,
             Err(outcome) => return Attempted::without_answer(outcome),
         };
-        let left = until.saturating_sub(self.core.clock.now()).div_ceil(1_000).max(1);
+        let extra = if mutants::on("patience grows") { 1_000 } else { 0 };
+        let patience_ms = until.saturating_sub(opened.at).div_ceil(1_000).max(1) + extra;
         let mut query = Vec::new();
-        pg::put_query(&mut query, &statement.with_patience(left));
+        pg::put_query(&mut query, &statement.with_patience(patience_ms));
         match by(deadline, opened.connection.stream.write_all(&query)).await {
             Some(Ok(())) => written(),
             Some(Err(_)) => return Attempted::without_answer(Outcome::ConnectFailed),
             None => return Attempted::without_answer(Outcome::Timeout),
         }
+        self.check(&opened, &statement.id, patience_ms * 1_000, until);
         if statement.is_plain() {
             return self.plain_answer(opened, until, writes).await;
         }
         self.answer(opened, until, heard).await
     }
 
+    /// Tells where an attempt that has been written must not have been.
+    pub fn check(&self, opened: &Opened, id: &str, patience: Micros, give_up_at: Micros) {
+        let now = self.core.clock.now();
+        let off_for = opened.start.off_for.map(|off| off + now.saturating_sub(opened.at));
+        let started = Started { off_for, patience, give_up_at };
+        if let Some(violation) = invariants::check_started(&opened.start, &started, now) {
+            let address = opened.connection.address;
+            self.core.events.violated(violation, &format_args!("id {id:?} at {address}"));
+        }
+    }
+
     /// The answer to a plain statement: whole where it fits into what is held, else its beginning. Until then
     /// nothing of it is the client's, and the module may still ask elsewhere.
     async fn plain_answer(&self, opened: Opened, until: Micros, writes: bool) -> Attempted {
@@ -417,31 +446,37 @@
         }
     }
 
-    /// A connection on which an attempt may be written, or the outcome that its lack amounts to. `may_begin` is asked
-    /// once it is up, however late: what the choice of the server rested on may be true no longer.
+    /// A connection on which an attempt may be written, or the outcome that its lack amounts to. `asks` is called once it
+    /// is up, however late: what the choice of the server rested on may be true no longer.
     pub async fn open(
-        &self, server: ServerId, until: Micros, may_begin: impl Fn() -> bool,
+        &self, server: ServerId, id: &str, until: Micros, asks: impl Fn(Micros) -> Asking,
     ) -> Result<Opened, Outcome> {
         let deadline = self.core.clock.instant(until);
         let begun = world::now();
         let dialled = (begun + self.dial_timeout).min(deadline);
-        let connection = match by(dialled, self.connection(server)).await {
+        let shortage = Cell::new(false);
+        let connection = match by(dialled, self.connection(server, &shortage)).await {
             Some(connection) => connection?,
+            // What this machine lacks says nothing of the host.
+            None if shortage.get() => return Err(Outcome::Moot),
             // Nothing was written, so it is no time-out. Guards against a lost host passing for a slow
             // one: a class whose time is shorter than the dial's would never show that it is out of
             // reach. A dial that was given too little time to tell proves nothing of the host.
             None if world::since(begun) < TELLS.min(self.dial_timeout / 2) => return Err(Outcome::Moot),
             None => return Err(Outcome::ConnectFailed),
         };
-        // Guards against a send that began in time, and whose dial outlasted the grace of a drain.
-        if self.off_for(server).is_some_and(|off| off + DRAIN_MARGIN > self.drain_grace) {
-            return Err(Outcome::Moot);
-        }
-        if !may_begin() {
-            self.give_back(server, connection);
+        let at = self.core.clock.now();
+        let Asking { client_left, request } = asks(at);
+        let (off_for, drain_grace) = (self.off_for(server), self.drain_grace);
+        let start = Start { off_for, drain_grace, client_left, request };
+        if let Err(denial) = invariants::may_start(&start, at) {
+            self.core.events.denied(id, denial);
+            if denial != Denial::HostOff {
+                self.give_back(server, connection);
+            }
             return Err(Outcome::Moot);
         }
-        Ok(Opened { server, connection })
+        Ok(Opened { server, connection, start, at })
     }
 
     /// The answer to what was written, by this time at the latest. What it has told of the server counts, also where it
@@ -464,7 +499,9 @@
                 attempted
             }
             Some(Answered::Long { note, column, value }) => {
-                let long = Some(Box::new(LongAnswer { opened, column, value, left: value, write: None }));
+                let until = self.core.clock.instant(until);
+                let long = LongAnswer { opened, column, value, left: value, until, write: None };
+                let long = Some(Box::new(long));
                 Attempted { note, long, ..Attempted::without_answer(Outcome::Ok) }
             }
             // Guards against a host that answers late, into the next request's connection.
@@ -482,7 +519,7 @@
 
     /// What comes behind the value of a long answer: the command's tag, if it ends as it should.
     pub async fn finish(&self, long: Box<LongAnswer>) -> Option<String> {
-        let LongAnswer { opened: Opened { server, mut connection }, write, .. } = *long;
+        let LongAnswer { opened: Opened { server, mut connection, .. }, write, .. } = *long;
         let mut note = Report::default();
         let Backend::CommandComplete(tag) = by(world::now() + STALLED, connection.next(&mut note)).await??
         else {
@@ -507,7 +544,10 @@
     async fn probe(&self, server: ServerId) {
         let by_when = world::now() + self.dial_timeout;
         let report = by(by_when, async {
-            let mut connection = self.connection(server).await.ok()?;
+            let mut connection = self.connection(server, &Cell::default()).await.ok()?;
+            if !invariants::takes_new(self.off_for(server), self.drain_grace) {
+                return None;
+            }
             let mut query = Vec::new();
             pg::put_query(&mut query, "SHOW usage");
             connection.stream.write_all(&query).await.ok()?;
@@ -541,15 +581,17 @@
     }
 
     /// For how long the host has been known to drain, to be gone or to be left out, if it is.
-    fn off_for(&self, server: ServerId) -> Option<Duration> {
-        let told = self.hosts.borrow().get(&server).and_then(|h| Some(world::since(h.off_since?)));
+    fn off_for(&self, server: ServerId) -> Option<Micros> {
+        let told = self.hosts.borrow().get(&server).and_then(|h| h.off_since);
+        let told = told.map(|at| world::since(at).as_micros() as Micros);
         let since = self.core.out_since(server);
-        let by_hand = since.map(|at| Duration::from_micros(self.core.clock.now().saturating_sub(at)));
+        let by_hand = since.map(|at| self.core.clock.now().saturating_sub(at));
         told.max(by_hand)
     }
 
     /// An idle connection that still stands, or a new one; or the outcome that its lack amounts to.
-    async fn connection(&self, server: ServerId) -> Result<Connection, Outcome> {
+    /// `shortage` tells whether one could not be dialled for want of something on this machine.
+    async fn connection(&self, server: ServerId, shortage: &Cell<bool>) -> Result<Connection, Outcome> {
         let address = {
             let mut hosts = self.hosts.borrow_mut();
             let host = hosts.get_mut(&server).ok_or(Outcome::ConnectFailed)?;
@@ -562,7 +604,7 @@
         };
         // Our own want of a descriptor says nothing of the host's health.
         let slot = self.slot().ok_or(Outcome::Moot)?;
-        Connection::dial(address, slot, &self.startup).await
+        Connection::dial(address, slot, &self.startup, shortage).await
     }
 
     /// A descriptor for one more connection; where none is left, that of the longest idle one.
@@ -621,8 +663,21 @@
 impl Connection {
     /// Opens a connection and its session. Nothing of a request is written here, so whatever goes
     /// wrong, the request has not run.
-    async fn dial(address: SocketAddr, slot: Slot, startup: &[u8]) -> Result<Connection, Outcome> {
-        let stream = Stream::connect(address).await.map_err(|_| Outcome::ConnectFailed)?;
+    async fn dial(
+        address: SocketAddr, slot: Slot, startup: &[u8], shortage: &Cell<bool>,
+    ) -> Result<Connection, Outcome> {
+        let stream = loop {
+            match Stream::connect(address).await {
+                Ok(stream) => break stream,
+                Err(e) if world::is_local_shortage(&e) => {
+                    shortage.set(true);
+                    complain(|| format!("hosts: {address}: connecting: {e}"));
+                    world::after(SHORTAGE_WAIT).await;
+                }
+                Err(_) => return Err(Outcome::ConnectFailed),
+            }
+        };
+        shortage.set(false);
         stream.no_delay().map_err(|_| Outcome::ConnectFailed)?;
         stream.bound_receiving();
         let (inbox, idle_since) = (Inbox::default(), world::now());
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -4,10 +4,13 @@
 
 use super::admission::Admission;
 use super::core::{Call, Core, Ending, Order, Ticket};
-use super::hosts::{Attempted, Hosts, LongAnswer, Opened, PlainAnswer};
+use super::events::RefusalReason;
+use super::hosts::{Asking, Attempted, Hosts, LongAnswer, Opened, PlainAnswer};
 use super::line::{Abandoned, Came, Line};
 use super::statements::Terms;
-use super::world;
+use super::world::{self, Stream};
+use crate::invariants::{self, Violation};
+use crate::mutants;
 use crate::pg::{self, ErrorFields, Row, Statement};
 use crate::{Micros, Outcome, Report, ServerId};
 use futures_lite::future;
@@ -61,14 +64,25 @@
 
 /// What a session has seen of its client, told to all its open requests. The session works on them in one task, so
 /// that nobody has to be woken.
-#[derive(Default)]
 pub struct ClientWatch {
+    stream: Rc<Stream>,
     abandoned: Cell<Option<Abandoned>>,
     /// A request wants the connection looked at once more before it begins another attempt.
     wants_look: Cell<bool>,
 }
 
 impl ClientWatch {
+    pub fn new(stream: Rc<Stream>) -> ClientWatch {
+        ClientWatch { stream, abandoned: Cell::default(), wants_look: Cell::default() }
+    }
+
+    /// Whether the client has closed the connection, as the machine knows at this moment: its end may be there, and not
+    /// read yet.
+    pub fn has_left(&self) -> bool {
+        let known = self.abandoned.get() == Some(Abandoned::ClientGone);
+        known || (self.stream.is_hung_up() && !mutants::on("departures are not seen"))
+    }
+
     /// From now on nothing more is begun.
     pub fn abandon(&self, why: Abandoned) {
         self.abandoned.set(Some(why));
@@ -114,6 +128,14 @@
         }
     }
 
+    /// Whether the client has closed the connection, as the machine knows at this moment.
+    fn has_left(&self) -> bool {
+        match self {
+            Client::Watched(watch) => watch.has_left(),
+            Client::Reading { line, .. } => line.is_hung_up(),
+        }
+    }
+
     /// Returns once nothing more is to be begun for the request.
     async fn abandoned(&mut self) -> Abandoned {
         match self {
@@ -175,6 +197,17 @@
     Abandoned(Abandoned),
 }
 
+impl Happened {
+    /// How the attempt ended.
+    fn outcome(&self) -> Outcome {
+        match self {
+            Happened::Ended(attempted) => attempted.outcome,
+            Happened::Uploaded(Err(Upload::NoConnection(outcome))) => *outcome,
+            Happened::Uploaded(_) | Happened::Ordered(_) | Happened::Abandoned(_) => Outcome::Cancelled,
+        }
+    }
+}
+
 /// What follows on the end of an attempt.
 enum Next {
     /// The end of the request.
@@ -190,8 +223,11 @@
     ) -> Option<Answer> {
         let (core, hosts) = (self.core, self.hosts);
         // At the door, before it could wait for anything.
-        if self.admission.is_cut_off() || !core.lets_in(call) {
-            return whole(Verdict::Refused { retry_in: core.retry_in });
+        if self.admission.is_cut_off() {
+            return self.refuse(&statement.id, RefusalReason::Stopping, core.retry_in);
+        }
+        if !core.lets_in(call) {
+            return self.refuse(&statement.id, RefusalReason::Headroom, core.retry_in);
         }
         let writes = plain.is_some_and(|p| p.writes);
         let ticket = core.open(call, self.client.left() > 0);
@@ -201,25 +237,39 @@
             sent_on.set(true);
             core.count(call.class, |c| &mut c.backend_calls);
         };
-        let mut order = None;
+        let watch = match &self.client {
+            Client::Watched(watch) => Some(*watch),
+            Client::Reading { .. } => None,
+        };
+        let asks = |now| Asking {
+            client_left: watch.is_some_and(ClientWatch::has_left),
+            request: ticket.starts(now),
+        };
+        let (mut order, mut before, mut may_have_run) = (None, None, false);
         loop {
             let next = match self.next_order(&ticket, order.take()).await {
                 Ok(order) => order,
                 Err(why) => {
                     ticket.abandoned();
-                    return self.last_answer(why, sent_on.get());
+                    return self.last_answer(why, &statement.id, sent_on.get());
                 }
             };
             let (server, number, until) = match next {
                 Order::Attempt { server, number, until } => (server, number, until),
-                Order::Refuse { retry_in } => return whole(Verdict::Refused { retry_in }),
+                Order::Refuse { retry_in } => {
+                    self.check_refusal(call, &statement.id, may_have_run);
+                    return self.refuse(&statement.id, RefusalReason::Module, retry_in);
+                }
                 Order::Fail => return whole(Verdict::Failed),
                 // The attempt ended on its own just before.
                 Order::Withdraw => continue,
             };
+            if let Some(outcome) = before.take() {
+                core.events.repeated(&statement.id, outcome);
+            }
             let heard = Cell::default();
-            let may_begin = || ticket.may_begin();
-            let (begun, begun_at) = (world::now(), core.clock.now());
+            let begun = world::now();
+            let begun_at = core.clock.micros(begun);
             let mut attempt = Attempt { server, number, until, begun, begun_at };
             let coming = self.client.left();
             // Whichever comes first; the others are dropped here, and with an attempt its connection:
@@ -227,8 +277,7 @@
             let mut happened = if coming > 0 {
                 self.upload(&attempt, &ticket, statement).await
             } else {
-                let attempt =
-                    pin!(hosts.attempt(server, statement, writes, until, may_begin, written, &heard));
+                let attempt = pin!(hosts.attempt(server, statement, writes, until, asks, written, &heard));
                 self.beside(attempt, &ticket).await
             };
             // What was passed on in pieces is not here any more for another attempt.
@@ -245,14 +294,19 @@
                 let answer = pin!(hosts.answer(opened, give_up_at, &heard));
                 happened = self.beside(answer, &ticket).await;
             }
+            let ended = happened.outcome();
+            may_have_run |= !ended.never_ran();
+            before = Some(ended);
             let next = match happened {
-                Happened::Ended(attempted) => self.take_in(attempted, &attempt, &ticket, call, once),
+                Happened::Ended(attempted) => {
+                    self.take_in(attempted, &attempt, &ticket, call, statement, once)
+                }
                 Happened::Uploaded(Err(Upload::NoConnection(outcome))) => {
                     if once {
                         ticket.answered();
                     }
                     attempt.ended(&ticket, outcome, Report::default());
-                    let refused = || whole(Verdict::Refused { retry_in: core.retry_in });
+                    let refused = || self.refuse(&statement.id, RefusalReason::NoConnection, core.retry_in);
                     if once { Next::Done(refused()) } else { Next::Order(None) }
                 }
                 Happened::Ordered(other) => {
@@ -267,7 +321,7 @@
                 Happened::Abandoned(why) => {
                     ticket.abandoned();
                     attempt.ended(&ticket, Outcome::Cancelled, heard.get());
-                    Next::Done(self.last_answer(why, sent_on.get()))
+                    Next::Done(self.last_answer(why, &statement.id, sent_on.get()))
                 }
             };
             match next {
@@ -291,17 +345,32 @@
     }
 
     /// The answer to a request that is abandoned: none to a client that has left.
-    fn last_answer(&self, why: Abandoned, sent_on: bool) -> Option<Answer> {
+    fn last_answer(&self, why: Abandoned, id: &str, sent_on: bool) -> Option<Answer> {
         match why {
             Abandoned::ClientGone => None,
             Abandoned::CutOff if sent_on => whole(Verdict::Failed),
-            Abandoned::CutOff => whole(Verdict::Refused { retry_in: self.core.retry_in }),
+            Abandoned::CutOff => self.refuse(id, RefusalReason::Stopping, self.core.retry_in),
+        }
+    }
+
+    /// A refusal: no further try does harm.
+    fn refuse(&self, id: &str, reason: RefusalReason, retry_in: Micros) -> Option<Answer> {
+        self.core.events.refused(id, reason);
+        whole(Verdict::Refused { retry_in })
+    }
+
+    /// Tells where a request is refused that must not run again, and may have run.
+    fn check_refusal(&self, call: &Call, id: &str, may_have_run: bool) {
+        let Some(effect) = self.core.effect(call.class) else { return };
+        if !invariants::may_refuse(effect, may_have_run, call.plain) {
+            self.core.events.violated(Violation::RefusedAfterRun, &format_args!("id {id:?}"));
         }
     }
 
     /// Takes in what came of an attempt, which cannot be made again where it is made `once`.
     fn take_in(
-        &mut self, attempted: Attempted, attempt: &Attempt, ticket: &Ticket<'_>, call: &Call, once: bool,
+        &mut self, attempted: Attempted, attempt: &Attempt, ticket: &Ticket<'_>, call: &Call,
+        statement: &Statement, once: bool,
     ) -> Next {
         let Attempted { mut outcome, note, mut row, rejected, long, plain, stream } = attempted;
         if let Some(e) = rejected {
@@ -337,7 +406,8 @@
         match row {
             Some(row) => Next::Done(whole(Verdict::Served(row))),
             None if once && outcome.never_ran() => {
-                Next::Done(whole(Verdict::Refused { retry_in: self.core.retry_in }))
+                let retry_in = self.core.retry_in;
+                Next::Done(self.refuse(&statement.id, RefusalReason::NoConnection, retry_in))
             }
             None if once => Next::Done(whole(Verdict::Failed)),
             None => Next::Order(None),
@@ -359,10 +429,14 @@
     async fn upload(&mut self, attempt: &Attempt, ticket: &Ticket<'_>, statement: &Statement) -> Happened {
         let (hosts, admission) = (self.hosts, self.admission);
         let upload = async {
-            let opened = hosts.open(attempt.server, attempt.until, || ticket.may_begin()).await;
+            let client = &self.client;
+            let asks = |now| Asking { client_left: client.has_left(), request: ticket.starts(now) };
+            let opened = hosts.open(attempt.server, &statement.id, attempt.until, asks).await;
             let opened = opened.map_err(Upload::NoConnection)?;
             match &mut self.client {
-                Client::Reading { line, left } => pass_on_statement(line, opened, statement, left).await,
+                Client::Reading { line, left } => {
+                    pass_on_statement(line, hosts, opened, statement, left).await
+                }
                 // It is whole already.
                 Client::Watched(_) => Ok(opened),
             }
@@ -391,15 +465,14 @@
 
 /// Passes on a long statement as its client writes it, up to its last byte.
 async fn pass_on_statement(
-    line: &mut Line<'_>, mut opened: Opened, statement: &Statement, left: &mut usize,
+    line: &mut Line<'_>, hosts: &Hosts, mut opened: Opened, statement: &Statement, left: &mut usize,
 ) -> Result<Opened, Upload> {
     let broken = |_| Upload::NoConnection(Outcome::ConnectFailed);
-    if line.is_hung_up() {
-        return Err(Upload::BrokenOff);
-    }
     let mut piece = Vec::new();
     pg::put_long_query(&mut piece, statement.text(), *left);
     opened.write(&piece).await.map_err(broken)?;
+    // Its client's own time is passed on, and runs from its last byte.
+    hosts.check(&opened, &statement.id, 0, Micros::MAX);
     while *left > 0 {
         match line.more().await {
             Ok(Came::Bytes) => {}
@@ -417,15 +490,42 @@
     Ok(opened)
 }
 
-/// Passes on a value as fast as its client takes it. Nothing if the host breaks it off: only the end of the connection
-/// tells the client so.
-pub async fn pass_on_value(line: &mut Line<'_>, hosts: &Hosts, mut long: Box<LongAnswer>) -> Option<()> {
+/// What came of a value that is passed on in pieces.
+pub enum PassedOn {
+    Whole,
+    /// Its host broke it off before the client had any of it.
+    Nothing,
+    /// Its host broke it off, and only the end of the connection tells the client so; or the client is gone.
+    BrokenOff,
+}
+
+/// Passes on a value as fast as its client takes it.
+pub async fn pass_on_value(line: &mut Line<'_>, hosts: &Hosts, mut long: Box<LongAnswer>) -> PassedOn {
+    let before = line.out.len();
     pg::put_long_row(&mut line.out, &long.column, long.value);
-    while long.piece(&mut line.out).await.ok()? > 0 {
-        line.flush().await.ok()?;
+    let mut begun = false;
+    loop {
+        match long.piece(&mut line.out).await {
+            Ok(0) => break,
+            Ok(_) => {}
+            Err(_) if begun => return PassedOn::BrokenOff,
+            Err(_) => {
+                line.out.truncate(before);
+                return PassedOn::Nothing;
+            }
+        }
+        begun = true;
+        if line.flush().await.is_err() {
+            return PassedOn::BrokenOff;
+        }
+    }
+    match hosts.finish(long).await {
+        Some(tag) => {
+            pg::put_complete(&mut line.out, &tag);
+            PassedOn::Whole
+        }
+        None => PassedOn::BrokenOff,
     }
-    pg::put_complete(&mut line.out, &hosts.finish(long).await?);
-    Some(())
 }
 
 /// Passes on the answer to a plain statement as fast as its client takes it: what it tells of its commit. Nothing if the
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -7,6 +7,7 @@
 use super::admission::{Admission, IDLE, IDLE_CROWDED, IDLE_THRONGED, Share};
 use super::world::{self, Stream};
 use super::{by, read};
+use crate::invariants::CloseReason;
 use crate::mutants;
 use crate::pg::{self, ErrorFields, Inbox, code};
 use async_channel::{Receiver, Sender};
@@ -90,7 +91,9 @@
 /// One client's connection.
 pub struct Line<'a> {
     all: &'a Rc<Admission>,
-    stream: Stream,
+    stream: Rc<Stream>,
+    /// Why it ends, where it does.
+    ends: Option<CloseReason>,
     begun: Instant,
     pub inbox: Inbox,
     /// How many bytes have come.
@@ -118,10 +121,11 @@
 }
 
 impl<'a> Line<'a> {
-    pub fn new(all: &'a Rc<Admission>, stream: Stream) -> Line<'a> {
+    pub fn new(all: &'a Rc<Admission>, stream: Rc<Stream>) -> Line<'a> {
         Line {
             all,
             stream,
+            ends: None,
             begun: world::now(),
             inbox: Inbox::default(),
             received: 0,
@@ -139,6 +143,16 @@
         }
     }
 
+    /// It ends for this reason; the first one counts.
+    pub fn end(&mut self, reason: CloseReason) {
+        self.ends.get_or_insert(reason);
+    }
+
+    /// Why it ends: its client has ended it where nothing else is known.
+    pub fn close_reason(&self) -> CloseReason {
+        self.ends.unwrap_or(CloseReason::ClientEnded)
+    }
+
     /// Bytes of a message that has begun, those that wait or the next.
     pub async fn more(&mut self) -> io::Result<Came> {
         if !self.inbox.is_empty() {
@@ -150,8 +164,14 @@
                 self.heard = world::now();
                 Ok(Came::Bytes)
             }
-            Some(Ok(_)) => Ok(Came::End),
-            Some(Err(e)) => Err(e),
+            Some(Ok(_)) => {
+                self.end(CloseReason::ClientEnded);
+                Ok(Came::End)
+            }
+            Some(Err(e)) => {
+                self.end(CloseReason::ReadFailed);
+                Err(e)
+            }
             None => Ok(Came::TooSlow),
         }
     }
@@ -169,6 +189,11 @@
 
     /// The end of the session.
     pub async fn over(&mut self, why: Came) -> io::Result<()> {
+        match why {
+            Came::TooSlow => self.end(CloseReason::TooSlow),
+            Came::TooMuch => self.end(CloseReason::TooMuch),
+            Came::Bytes | Came::End => {}
+        }
         match why {
             Came::TooSlow => self.fatal(code::PROTOCOL_VIOLATION, "what was begun did not end in time").await,
             Came::TooMuch => self.fatal(code::OUT_OF_MEMORY, "too much is being sent here at once").await,
@@ -179,6 +204,15 @@
     /// Writes what is due. Where requests are open behind it, it also fails once the client has closed the connection, so
     /// that they end with it.
     pub async fn flush(&mut self) -> io::Result<()> {
+        let flushed = self.write_due().await;
+        if let Err(e) = &flushed {
+            let left = e.kind() == io::ErrorKind::ConnectionAborted;
+            self.end(if left { CloseReason::ClientLeft } else { CloseReason::WriteFailed });
+        }
+        flushed
+    }
+
+    async fn write_due(&mut self) -> io::Result<()> {
         let mut written = 0;
         while written < self.out.len() {
             let gone = async {
@@ -213,6 +247,7 @@
             self.arrivals = VecDeque::new();
         }
         if resting && self.asked && self.all.answered_last() && self.nothing_came() {
+            self.end(CloseReason::Stopping);
             return Ok(Came::End);
         }
         if !resting {
@@ -250,6 +285,7 @@
         let read = async { Some(read(&self.stream, &mut self.inbox).await) };
         // Whoever came that late hears its refusal, and rests no longer than others of its kind.
         let late = self.all.is_late(self.begun);
+        let mut stops = false;
         let closing = async {
             if !resting || late {
                 all.until_cut_off().await;
@@ -259,8 +295,8 @@
                     future::or(world::after(UNASKED), all.until_cut_off()).await;
                 }
             }
-            // Half of a message hears that it came too late.
-            resting.then_some(Ok(0))
+            stops = true;
+            None
         };
         let mut evicted = false;
         let asked_to_go = async {
@@ -274,12 +310,19 @@
         match read {
             Some(Ok(n)) if n > 0 => {
                 self.received += n as u64;
-                Ok(if self.affordable() { Came::Bytes } else { Came::TooMuch })
+                return Ok(if self.affordable() { Came::Bytes } else { Came::TooMuch });
+            }
+            Some(Err(e)) => {
+                self.end(CloseReason::ReadFailed);
+                return Err(e);
             }
-            Some(Err(e)) => Err(e),
-            None if !resting => Ok(Came::TooSlow),
-            _ => Ok(Came::End),
+            // Half of a message hears that it came too late.
+            None if !resting => return Ok(Came::TooSlow),
+            None if stops => self.end(CloseReason::Stopping),
+            Some(Ok(_)) if !evicted => self.end(CloseReason::ClientEnded),
+            _ => self.end(CloseReason::Rested),
         }
+        Ok(Came::End)
     }
 
     /// Whether nothing waits to be read. Guards against a close on a request that is here already.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,6 @@
-//! Everything that touches sockets, in eighteen parts, each of which knows only those before it: `world` is the door to
-//! the machine, `endpoints` plain configuration of the proxy's own sockets, `backoff` the waits between tries, `listing`
-//! the list as a message; `core` owns the decision module, time and the figures; `capture` the record of load, `hosts`
+//! Everything that touches sockets, in parts each of which knows only those before it: `faults` makes system calls fail
+//! on order, in tests only, `world` is the door to the machine, `endpoints` plain configuration of the proxy's own sockets, `backoff` the waits between tries, `listing`
+//! the list as a message; `events` counts what happens by its reason; `core` owns the decision module, time and the figures; `capture` the record of load, `hosts`
 //! the connections to database hosts, `discovery` the watch of the list, `peers` the talk with other proxies,
 //! `statements` the desk for plain statements, `admission` clients' places, `line` their connections, `life` a request's
 //! life, `pipeline` the requests of a connection behind one another, `client` their sessions, `upgrade` what two processes
@@ -17,6 +17,8 @@
 pub mod core;
 pub mod discovery;
 pub mod endpoints;
+pub mod events;
+pub mod faults;
 pub mod hosts;
 pub mod life;
 pub mod line;
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -12,7 +12,9 @@
 use super::upgrade::Upgrade;
 use super::world::{self, Bound, Listener, Spawner};
 use super::{by, capture, discovery};
+use crate::Micros;
 use crate::config::Config;
+use crate::invariants;
 use crate::mutants;
 use crate::operator::File;
 use async_channel::{Receiver, Sender};
@@ -22,9 +24,7 @@
 use std::time::Duration;
 use tracing::info;
 
-/// The graceful shutdown: beyond the linger and the longest wait of a client requests have this long; then each that is
-/// open gets its last answer. The longest wait that counts, since SIGKILL comes 0.7 s after it at the soonest.
-const CUT_OFF_SLACK: Duration = Duration::from_millis(50);
+/// The longest wait of a client that counts at a stop, since SIGKILL comes 0.7 s after it at the soonest.
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
 /// How long the last answers may take on their way, and long values that have begun: a reader that takes nothing of one
 /// is given up within this.
@@ -129,7 +129,9 @@
         let listener = socket.listen().map_err(|e| format!("listen: cannot listen on {address}: {e}"))?;
         info!(target: "sillfold", "{name} serves on {address}");
         future::or(clients.accept(&listener), async { _ = stopped.recv().await }).await;
-        let cut_off = world::now() + linger + longest.min(LONGEST_WAIT) + CUT_OFF_SLACK;
+        let micros = |span: Duration| span.as_micros() as Micros;
+        let cut_off = invariants::cut_off_after(micros(linger), micros(longest.min(LONGEST_WAIT)));
+        let cut_off = world::now() + Duration::from_micros(cut_off);
         if mutants::on("never stops") {
             future::pending::<()>().await;
         }
@@ -141,13 +143,13 @@
             // The other version takes whoever comes. Connections end behind their answers first: guards
             // against a close that catches a request on its way.
             clients.admission.relieve();
-            clients.accept_rest(&listener);
+            clients.accept_rest(&listener).await;
             drop(listener);
             world::after(linger).await;
         } else {
             // Clients go on coming for a while, and are served as ever.
             future::or(clients.accept(&listener), world::after(linger)).await;
-            clients.accept_rest(&listener);
+            clients.accept_rest(&listener).await;
             drop(listener);
         }
         if by(cut_off, clients.admission.close()).await.is_some() {
--- a/src/net/world.rs
+++ b/src/net/world.rs
@@ -6,9 +6,11 @@
 //! slip fails the lints, and a simulated day stays the same from run to run.
 #![allow(clippy::disallowed_methods, reason = "this is the one place")]
 
+use super::faults::{self, Call};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::io::Errno;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::fs;
@@ -135,7 +137,7 @@
 
 /// The clock on the wall, since the Unix epoch.
 pub fn unix() -> Duration {
-    let machine = || SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let machine = || faults::stepped(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default());
     outside().map_or_else(machine, |o| o.unix())
 }
 
@@ -146,16 +148,24 @@
 
 /// A whole file as text.
 pub fn read_text(path: &Path) -> io::Result<String> {
-    let bytes = outside().map_or_else(|| fs::read(path), |o| o.read(path))?;
+    let machine = || faults::before(Call::File).and_then(|()| fs::read(path));
+    let bytes = uninterrupted(|| outside().map_or_else(machine, |o| o.read(path)))?;
     String::from_utf8(bytes).map_err(|_| ErrorKind::InvalidData.into())
 }
 
 /// Puts a text in place whole: whoever reads meanwhile finds what was there before, or this.
 pub fn put_whole(path: &Path, next: &Path, text: &str) -> io::Result<()> {
-    match outside() {
-        None => fs::write(next, text).and_then(|()| fs::rename(next, path)),
+    let put = match outside() {
+        None => faults::before(Call::File)
+            .and_then(|()| fs::write(next, text))
+            .and_then(|()| fs::rename(next, path)),
         Some(o) => o.write(next, text.as_bytes()).and_then(|()| o.rename(next, path)),
+    };
+    if put.is_err() {
+        // Half of it may be there.
+        let _ = remove(next);
     }
+    put
 }
 
 /// Removes a file.
@@ -165,7 +175,8 @@
 
 /// Makes a directory and those it is in.
 pub fn make_dirs(path: &Path) -> io::Result<()> {
-    outside().map_or_else(|| fs::create_dir_all(path), |o| o.make_dirs(path))
+    let machine = || faults::before(Call::File).and_then(|()| fs::create_dir_all(path));
+    outside().map_or_else(machine, |o| o.make_dirs(path))
 }
 
 /// What is in a directory; nothing where it cannot be read.
@@ -222,15 +233,36 @@
     /// Dials.
     pub async fn connect(to: SocketAddr) -> io::Result<Stream> {
         match outside() {
-            None => Async::<TcpStream>::connect(to).await.map(Stream::Machine),
+            None => Stream::connect_machine(to).await.map(Stream::Machine),
             Some(o) => o.connect(to).await.map(Stream::Other),
         }
     }
 
+    async fn connect_machine(to: SocketAddr) -> io::Result<Async<TcpStream>> {
+        loop {
+            faults::before(Call::Socket)?;
+            let dial = async {
+                faults::before(Call::Connect)?;
+                Async::<TcpStream>::connect(to).await
+            };
+            match dial.await {
+                // Its socket is gone with it.
+                Err(e) if is_interruption(&e) => {}
+                dialled => return dialled,
+            }
+        }
+    }
+
     /// Dials a socket in the file system: whoever listens there is on the same machine, and answers at once or never.
     pub fn connect_local(path: &Path) -> io::Result<Stream> {
         match outside() {
-            None => UnixStream::connect(path).and_then(Async::new).map(Stream::Local),
+            None => {
+                let stream = uninterrupted(|| {
+                    faults::before(Call::Connect)?;
+                    UnixStream::connect(path)
+                });
+                stream.and_then(Async::new).map(Stream::Local)
+            }
             Some(o) => o.connect_local(path).map(Stream::Other),
         }
     }
@@ -260,9 +292,20 @@
     /// Waits for bytes, hands them to `take` and returns their number; 0 at the end of the connection.
     #[inline]
     pub async fn read_with(&self, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+        loop {
+            match self.read_once(&mut take).await {
+                Err(e) if is_interruption(&e) => {}
+                read => return read,
+            }
+        }
+    }
+
+    /// One read, which a signal may interrupt.
+    #[inline]
+    async fn read_once(&self, take: &mut impl FnMut(&[u8])) -> io::Result<usize> {
         match self {
-            Stream::Machine(s) => s.read_with(|s| land(s, &mut take)).await,
-            Stream::Local(s) => s.read_with(|s| land(s, &mut take)).await,
+            Stream::Machine(s) => s.read_with(|s| land(s, take)).await,
+            Stream::Local(s) => s.read_with(|s| land(s, take)).await,
             Stream::Other(w) => {
                 let mut landing = vec![0; READ_BYTES];
                 let n = poll_fn(|cx| w.poll_read(cx, &mut landing)).await?;
@@ -275,9 +318,20 @@
     /// Writes a part, at least a byte.
     #[inline]
     pub async fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        loop {
+            match self.write_once(bytes).await {
+                Err(e) if is_interruption(&e) => {}
+                written => return written,
+            }
+        }
+    }
+
+    /// One write, which a signal may interrupt.
+    #[inline]
+    async fn write_once(&self, bytes: &[u8]) -> io::Result<usize> {
         match self {
-            Stream::Machine(s) => s.write_with(|mut s| s.write(bytes)).await,
-            Stream::Local(s) => s.write_with(|mut s| s.write(bytes)).await,
+            Stream::Machine(s) => s.write_with(|s| put(s, bytes)).await,
+            Stream::Local(s) => s.write_with(|s| put(s, bytes)).await,
             Stream::Other(w) => poll_fn(|cx| w.poll_write(cx, bytes)).await,
         }
     }
@@ -295,13 +349,17 @@
 
     /// Writes what fits at once, and forgets the rest.
     pub fn write_now(&self, bytes: &[u8]) {
-        match self {
-            Stream::Machine(s) => drop(s.get_ref().write(bytes)),
-            Stream::Local(s) => drop(s.get_ref().write(bytes)),
-            Stream::Other(w) => {
-                drop(w.poll_write(&mut Context::from_waker(std::task::Waker::noop()), bytes));
-            }
-        }
+        let context = &mut Context::from_waker(std::task::Waker::noop());
+        let write = || match self {
+            Stream::Machine(s) => put(s.get_ref(), bytes).map(drop),
+            Stream::Local(s) => put(s.get_ref(), bytes).map(drop),
+            Stream::Other(w) => match w.poll_write(context, bytes) {
+                Poll::Ready(written) => written.map(drop),
+                Poll::Pending => Ok(()),
+            },
+        };
+        // What does not fit, or is not taken, is forgotten.
+        let _ = uninterrupted(write);
     }
 
     /// Nothing waits to be read, and the connection has not ended.
@@ -309,7 +367,8 @@
     pub fn quiet(&self) -> bool {
         match self {
             Stream::Machine(s) => {
-                matches!(s.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+                let peek = || faults::before(Call::Peek).and_then(|()| s.get_ref().peek(&mut [0]));
+                matches!(uninterrupted(peek), Err(e) if e.kind() == ErrorKind::WouldBlock)
             }
             // Nobody asks this of a socket in the file system.
             Stream::Local(_) => true,
@@ -324,7 +383,11 @@
             Stream::Machine(s) => {
                 let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
                 let mut asked = [PollFd::new(s.get_ref(), PollFlags::RDHUP)];
-                poll(&mut asked, Some(&Timespec::default())).is_ok() && asked[0].revents().intersects(ends)
+                let look = || {
+                    faults::before(Call::Poll)?;
+                    poll(&mut asked, Some(&Timespec::default())).map_err(io::Error::from)
+                };
+                uninterrupted(look).is_ok() && asked[0].revents().intersects(ends)
             }
             Stream::Local(_) => false,
             Stream::Other(w) => w.is_hung_up(),
@@ -333,23 +396,82 @@
 
     /// Ends the sending.
     pub fn shutdown(&self) -> io::Result<()> {
-        match self {
+        uninterrupted(|| match self {
             Stream::Machine(s) => s.get_ref().shutdown(Shutdown::Write),
             Stream::Local(s) => s.get_ref().shutdown(Shutdown::Write),
             Stream::Other(w) => w.shutdown(),
-        }
+        })
     }
 }
 
 /// One read, to where every read lands first.
 fn land(mut from: impl Read, take: &mut impl FnMut(&[u8])) -> io::Result<usize> {
+    faults::before(Call::Read)?;
     LANDING.with_borrow_mut(|landing| {
-        let n = from.read(landing)?;
+        let most = faults::part(landing.len());
+        let n = from.read(&mut landing[..most])?;
         take(&landing[..n]);
         Ok(n)
     })
 }
 
+/// One write, of a part or all.
+fn put(mut to: impl Write, bytes: &[u8]) -> io::Result<usize> {
+    faults::before(Call::Write)?;
+    to.write(&bytes[..faults::part(bytes.len())])
+}
+
+/// Whether a signal interrupted a call before it did anything: it is to be made again.
+fn is_interruption(e: &io::Error) -> bool {
+    e.kind() == ErrorKind::Interrupted
+}
+
+/// The result of a call that is made again as often as a signal interrupts it.
+fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(e) if is_interruption(&e) => {}
+            result => return result,
+        }
+    }
+}
+
+/// Whether an accept failed for one connection only, as its client or its network gave it up: the next one may be had at
+/// once. accept(2) asks for errors of the network to be treated so.
+fn is_of_one_connection(e: &io::Error) -> bool {
+    const OF_ONE: [Errno; 10] = [
+        Errno::INTR,
+        Errno::CONNABORTED,
+        Errno::PROTO,
+        Errno::NOPROTOOPT,
+        Errno::OPNOTSUPP,
+        Errno::NETDOWN,
+        Errno::NETUNREACH,
+        Errno::HOSTDOWN,
+        Errno::HOSTUNREACH,
+        Errno::NONET,
+    ];
+    // An error without a number is one of a simulated world's.
+    let kinds = [ErrorKind::Interrupted, ErrorKind::ConnectionAborted];
+    kinds.contains(&e.kind()) || Errno::from_io_error(e).is_some_and(|errno| OF_ONE.contains(&errno))
+}
+
+/// Whether a connection could not be made for want of something on this machine, which says nothing of the other side.
+pub fn is_local_shortage(e: &io::Error) -> bool {
+    const LOCAL: [Errno; 9] = [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+        Errno::ADDRNOTAVAIL,
+        Errno::ADDRINUSE,
+        Errno::AGAIN,
+        Errno::NETDOWN,
+        Errno::NETUNREACH,
+    ];
+    Errno::from_io_error(e).is_some_and(|errno| LOCAL.contains(&errno))
+}
+
 /// An address that is taken, and where nobody listens yet.
 pub enum Bound {
     Machine(Socket),
@@ -398,18 +520,30 @@
 
     /// The next datagram, cut at the end of what it goes into, and whence it came.
     pub async fn receive(&self, into: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
-        match self {
-            Post::Machine(s) => s.recv_from(into).await,
-            Post::Other(m) => poll_fn(|cx| m.poll_receive(cx, into)).await,
+        loop {
+            let received = match self {
+                Post::Machine(s) => match faults::before(Call::Receive) {
+                    Ok(()) => s.recv_from(into).await,
+                    Err(e) => Err(e),
+                },
+                Post::Other(m) => poll_fn(|cx| m.poll_receive(cx, into)).await,
+            };
+            match received {
+                Err(e) if is_interruption(&e) => {}
+                received => return received,
+            }
         }
     }
 
     /// Sends one, or fails at once where the machine has no room for it.
     pub fn send_now(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
-        match self {
-            Post::Machine(s) => s.get_ref().send_to(bytes, to).map(|_| ()),
+        uninterrupted(|| match self {
+            Post::Machine(s) => {
+                faults::before(Call::Send)?;
+                s.get_ref().send_to(bytes, to).map(|_| ())
+            }
             Post::Other(m) => m.send_now(bytes, to),
-        }
+        })
     }
 }
 
@@ -457,27 +591,55 @@
         }
     }
 
+    /// The next connection. One that its client has given up is passed over; what fails for want of something on this
+    /// machine is told, and may be had later.
     pub async fn accept(&self) -> io::Result<Stream> {
+        loop {
+            match self.accept_once().await {
+                Err(e) if is_of_one_connection(&e) => {}
+                accepted => return accepted,
+            }
+        }
+    }
+
+    async fn accept_once(&self) -> io::Result<Stream> {
         match self {
-            Listener::Machine(l) => l.accept().await.map(|(s, _)| Stream::Machine(s)),
-            Listener::Local(l) => l.accept().await.map(|(s, _)| Stream::Local(s)),
+            Listener::Machine(l) => {
+                faults::before(Call::Accept)?;
+                l.accept().await.map(|(s, _)| Stream::Machine(s))
+            }
+            Listener::Local(l) => {
+                faults::before(Call::Accept)?;
+                l.accept().await.map(|(s, _)| Stream::Local(s))
+            }
             Listener::Other(door) => poll_fn(|cx| door.poll_accept(cx)).await.map(Stream::Other),
         }
     }
 
-    /// The next one that is here already.
+    /// The next one that is here already, or why it cannot be had now.
     pub fn accept_now(&self) -> Option<io::Result<Stream>> {
+        loop {
+            match self.accept_now_once() {
+                Err(e) if is_of_one_connection(&e) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
+                accepted => return Some(accepted),
+            }
+        }
+    }
+
+    fn accept_now_once(&self) -> io::Result<Stream> {
         match self {
             Listener::Machine(l) => {
-                let (stream, _) = l.get_ref().accept().ok()?;
-                Some(Async::new(stream).map(Stream::Machine))
+                faults::before(Call::Accept)?;
+                let (stream, _) = l.get_ref().accept()?;
+                Async::new(stream).map(Stream::Machine)
             }
             // Only clients' connections are taken so.
-            Listener::Local(_) => None,
+            Listener::Local(_) => Err(ErrorKind::WouldBlock.into()),
             Listener::Other(door) => {
                 match door.poll_accept(&mut Context::from_waker(std::task::Waker::noop())) {
-                    Poll::Ready(Ok(wire)) => Some(Ok(Stream::Other(wire))),
-                    _ => None,
+                    Poll::Ready(accepted) => accepted.map(Stream::Other),
+                    Poll::Pending => Err(ErrorKind::WouldBlock.into()),
                 }
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,6 +60,10 @@
     pub full_until: Micros,
 }
 
+/// News of a start come within so long, lists that run late and outages of discovery included.
+const LATEST_NEWS: Micros = 60_000_000;
+/// Wall clocks differ by less than this. A start before that is no fault of a clock.
+const MOST_SKEW: Micros = 2 * 3_600_000_000;
 /// What a server's last latency has over the usual one halves so often in the time for which latencies count.
 const FADES: f64 = 4.0;
 
@@ -154,12 +158,19 @@
         (rise < 1.0).then(|| (start + (1.0 - start) * rise).clamp(0.01, 1.0))
     }
 
-    /// Takes in the start that the list tells; one that is `new` there with none has just started.
-    pub fn started_at(&mut self, started: Micros, now: Micros, cold: Micros, new: bool) {
-        if started > self.listed_start {
+    /// Takes in the start that the list tells; one that is `new` there with none has just started. The clock that it
+    /// is told by may differ from this one: one ahead of it was just now, and so was one that is `news` and some time
+    /// ago, since news of a start come within seconds.
+    pub fn started_at(&mut self, started: Micros, now: Micros, cold: Micros, new: bool, news: bool) {
+        // Another start than before, not only a later one: a clock may have been stepped back between.
+        if started != self.listed_start && started > 0 {
             self.listed_start = started;
-            if started.saturating_add(cold) > now && started <= now {
-                self.restarted(started);
+            let age = now.saturating_sub(started);
+            let too_old_for_news = news && (cold + LATEST_NEWS..MOST_SKEW).contains(&age);
+            let by_another_clock = started > now || too_old_for_news;
+            let at = if by_another_clock { now } else { started };
+            if at.saturating_add(cold) > now {
+                self.restarted(at);
             }
         } else if new && started == 0 {
             self.restarted(now);
--- a/tests/system_calls.rs
+++ b/tests/system_calls.rs
@@ -2,9 +2,11 @@
 //! connection harms no other, and what fails on this machine is not held against a database host.
 
 use futures_lite::future;
-use sillfold::net::world::{Stream, Wire};
+use sillfold::net::world::{Door, Listener, Mail, Post, Stream, Wire};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
@@ -71,3 +73,67 @@
     assert!(stream.shutdown().is_ok());
     assert_eq!(written.borrow().as_slice(), b"answerxy");
 }
+
+/// A socket for datagrams whose calls are interrupted once each.
+struct InterruptedMail(Cell<bool>);
+
+impl InterruptedMail {
+    fn is_interrupted(&self) -> bool {
+        !self.0.replace(!self.0.get())
+    }
+}
+
+impl Mail for InterruptedMail {
+    fn poll_receive(&self, _: &mut Context<'_>, _: &mut [u8]) -> Poll<io::Result<(usize, SocketAddr)>> {
+        if self.is_interrupted() {
+            return Poll::Ready(Err(ErrorKind::Interrupted.into()));
+        }
+        Poll::Ready(Ok((1, SocketAddr::from(([127, 0, 0, 1], 1)))))
+    }
+    fn send_now(&self, _: &[u8], _: SocketAddr) -> io::Result<()> {
+        if self.is_interrupted() { Err(ErrorKind::Interrupted.into()) } else { Ok(()) }
+    }
+}
+
+/// The talk between proxies.
+#[test]
+fn an_interrupted_call_for_a_datagram_is_made_again() {
+    let post = Post::Other(Box::new(InterruptedMail(Cell::new(false))));
+    assert!(future::block_on(post.receive(&mut [0; 8])).is_ok());
+    assert!(post.send_now(b"x", SocketAddr::from(([127, 0, 0, 1], 1))).is_ok());
+}
+
+/// A listener that gives these one after the other, then has nothing.
+struct ScriptedDoor(RefCell<VecDeque<Result<(), ErrorKind>>>);
+
+impl ScriptedDoor {
+    fn listener(script: &[Result<(), ErrorKind>]) -> Listener {
+        Listener::Other(Box::new(ScriptedDoor(RefCell::new(script.iter().copied().collect()))))
+    }
+}
+
+impl Door for ScriptedDoor {
+    fn listen(&self) -> io::Result<()> {
+        Ok(())
+    }
+    fn poll_accept(&self, _: &mut Context<'_>) -> Poll<io::Result<Box<dyn Wire>>> {
+        match self.0.borrow_mut().pop_front() {
+            Some(Ok(())) => Poll::Ready(Ok(Box::new(InterruptedWire::new(0).0))),
+            Some(Err(kind)) => Poll::Ready(Err(kind.into())),
+            None => Poll::Pending,
+        }
+    }
+}
+
+/// What waits to be accepted at a stop is taken in to its end: an interrupted accept is made again, and a connection
+/// that its client has given up is one of many.
+#[test]
+fn all_that_wait_to_be_accepted_are_taken_behind_one_that_failed() {
+    let (interrupted, aborted) = (Err(ErrorKind::Interrupted), Err(ErrorKind::ConnectionAborted));
+    let listener = ScriptedDoor::listener(&[Ok(()), interrupted, Ok(()), aborted, aborted, Ok(())]);
+    let mut taken = 0;
+    while let Some(accepted) = listener.accept_now() {
+        taken += u32::from(accepted.is_ok());
+    }
+    assert_eq!(taken, 3);
+}
