--- a/src/main.rs
+++ b/src/main.rs
@@ -11,10 +11,10 @@
 use async_signal::{Signal, Signals};
 use clap::Parser;
 use cli::{Cli, Command};
-use futures_lite::StreamExt;
 use sillfold::config::Config;
 use sillfold::net::client::Clients;
 use sillfold::net::proxy::Proxy;
+use sillfold::net::signals;
 use sillfold::net::statements::Statements;
 use sillfold::net::world::Spawner;
 use sillfold::operator::{self, File};
@@ -83,7 +83,7 @@
 }
 
 async fn serve(
-    mut config: Config, mut operator: Operator, mut signals: Signals, executor: &Rc<LocalExecutor<'static>>,
+    mut config: Config, mut operator: Operator, signals: Signals, executor: &Rc<LocalExecutor<'static>>,
 ) -> Result<(), String> {
     let (dialect, proxy) =
         (config.dialect.clone(), Proxy::start(&mut config, &operator.file, &Spawner::of(executor))?);
@@ -91,18 +91,14 @@
 
     // A task of its own, so that a SIGHUP during the stop is still a reload and not the program's end.
     let (stop, stopped) = async_channel::bounded(1);
-    let handle_signals = async move {
-        while let Some(signal) = signals.next().await {
-            match signal {
-                Ok(Signal::Hup) => {
-                    reload(&mut config, &moves);
-                    reload_operator(&mut operator, &served, &dialect);
-                }
-                _ => drop(stop.try_send(())),
-            }
-        }
+    let follow_signals = async move {
+        let reload = || {
+            reload(&mut config, &moves);
+            reload_operator(&mut operator, &served, &dialect);
+        };
+        signals::follow(signals, reload, &stop).await;
     };
-    executor.spawn(handle_signals).detach();
+    executor.spawn(follow_signals).detach();
     proxy.run(stopped).await
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,7 +4,8 @@
 //! the connections to database hosts, `discovery` the watch of the list, `peers` the talk with other proxies,
 //! `statements` the desk for plain statements, `admission` clients' places, `line` their connections, `life` a request's
 //! life, `pipeline` the requests of a connection behind one another, `client` their sessions, `upgrade` what two processes
-//! share, `console` the operators' door, `proxy` all of them.
+//! share, `console` the operators' door, `proxy` all of them; `signals` what a
+//! running program follows.
 //! This file holds only what they share; it must never decide nor keep state beyond a moment.
 
 #![warn(clippy::disallowed_methods)]
@@ -26,6 +27,7 @@
 pub mod peers;
 pub mod pipeline;
 pub mod proxy;
+pub mod signals;
 pub mod statements;
 pub mod upgrade;
 pub mod world;
--- /dev/null
+++ b/src/net/signals.rs
@@ -0,0 +1,20 @@
+//! The signals that a running program follows: SIGHUP reads the configuration again, SIGTERM and SIGINT stop it in order. It
+//! owns what each one means. It must never read a file, nor end anything itself.
+
+use async_channel::Sender;
+use async_signal::Signal;
+use futures_lite::{Stream, StreamExt};
+use std::io;
+
+/// Follows signals for as long as they come.
+pub async fn follow(
+    mut signals: impl Stream<Item = io::Result<Signal>> + Unpin, mut reload: impl FnMut(), stop: &Sender<()>,
+) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => reload(),
+            // A second one changes nothing.
+            _ => drop(stop.try_send(())),
+        }
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1669,3 +1669,19 @@
     let (known, unknown) = (share(true), share(false));
     assert!(known > 3 * unknown.max(1), "{known} with the expectation, {unknown} without");
 }
+
+/// An order of a process whose clock was an hour ahead: its time counts from when it is heard, at the latest.
+#[test]
+fn an_order_from_a_clock_ahead_binds_and_fades_as_any_other() {
+    let mut rig = Rig::new(settings());
+    let primary = 1;
+    rig.heard(primary, Role::Primary, 0);
+    let write = rig.ask(2, 4);
+    assert_eq!(target(&write, 2), Some(primary), "{write:?}");
+    rig.end_untold(2, primary, Outcome::Ok, 10 * MS);
+    let since = rig.now + 3_600_000 * MS;
+    rig.at(MS, &[Event::ByHand { server: primary, out: true, since }]);
+    let grace = settings().safety.drain_grace;
+    rig.at(grace, &[]);
+    assert_eq!(target(&rig.ask(3, 4), 3), None, "a write goes to it after the grace");
+}
