--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -769,11 +769,11 @@
         Ok(())
     }
 
-    fn list(&self, path: &Path) -> Vec<PathBuf> {
+    fn list(&self, path: &Path) -> io::Result<Vec<PathBuf>> {
         let w = self.world.0.borrow();
         let disk = w.disks.get(&w.places[self.machine].disk);
         let inside = |p: &&PathBuf| p.parent() == Some(path);
-        disk.map(|d| d.files.keys().filter(inside).cloned().collect()).unwrap_or_default()
+        Ok(disk.map(|d| d.files.keys().filter(inside).cloned().collect()).unwrap_or_default())
     }
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -289,6 +289,8 @@
 
     /// The rule on drains binds from the first call out until the call back; then the server is cold.
     fn by_hand(&mut self, server: ServerId, out: bool, since: Micros) {
+        // Another process may have given the order by a clock that is ahead.
+        let since = since.min(self.now);
         if out {
             self.out_by_hand.entry(server).or_insert(since);
             self.out.push(Action::CloseIdle(server));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -59,6 +59,18 @@
     pub hosts: usize,
 }
 
+impl Held {
+    /// What two processes hold together; one of them that is ready is enough.
+    fn with(self, other: &Held) -> Held {
+        Held {
+            ready: self.ready || other.ready,
+            clients: self.clients.saturating_add(other.clients),
+            bytes: self.bytes.saturating_add(other.bytes),
+            hosts: self.hosts.saturating_add(other.hosts),
+        }
+    }
+}
+
 /// A limit that two processes may have to share.
 pub struct Budget {
     whole: usize,
@@ -74,7 +86,7 @@
     }
     /// Beside a process that holds so much, this one may have half of what neither holds.
     pub fn share(&self, mine: usize, theirs: Option<usize>) {
-        let shared = |theirs| mine + self.whole.saturating_sub(mine + theirs) / 2;
+        let shared = |theirs: usize| mine + self.whole.saturating_sub(mine.saturating_add(theirs)) / 2;
         self.mine.set(theirs.map_or(self.whole, shared));
     }
 }
