Show by failing tests that a stop resets who waits for a place, and a failed read of signals stops

Ruled out: accept_rest, the end of the listener, shares of limits. signals: main.rs took Some(Err(_)) for an order to stop: one failed read of the signals ends the proxy.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -375,3 +375,23 @@
     proxy.thaw();
     proxy.logged("is no longer primary");
 }
+
+/// All places are taken by clients that have said nothing yet, and one that asks waits for a place as the stop comes: it is
+/// not dropped over what it has written.
+#[test]
+fn a_connection_that_waits_for_a_place_as_the_stop_comes_is_not_reset() {
+    let host = served("v");
+    // 39 places for clients.
+    let mut proxy = Proxy::start_with(&[&host], 96, linger(300));
+    let silent: Vec<Client> = (0..39).map(|_| Client::connect(proxy.address)).collect();
+    let mut asking = Client::connect(proxy.address);
+    asking.send(&[startup(), query(&read("1", "history", 9000))].concat());
+    proxy.has_accepted_all();
+    proxy.signal("TERM");
+    let mut came = Vec::new();
+    let ended = asking.stream.read_to_end(&mut came);
+    assert!(ended.is_ok(), "{ended:?} behind {} bytes", came.len());
+    assert!(!came.is_empty(), "neither an answer nor a refusal");
+    drop(silent);
+    assert!(proxy.wait().success());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -657,13 +657,17 @@
     }
 }
 
+/// An address as the table of sockets has it.
+fn hex(address: SocketAddr) -> String {
+    match address.ip() {
+        IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), address.port()),
+        IpAddr::V6(_) => String::new(),
+    }
+}
+
 /// Whether something that was written to this connection is still on its way. The table of sockets tells.
 fn unread_by_peer(s: &TcpStream) -> bool {
     let (Ok(own), Ok(peer)) = (s.local_addr(), s.peer_addr()) else { return false };
-    let hex = |a: SocketAddr| match a.ip() {
-        IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), a.port()),
-        IpAddr::V6(_) => String::new(),
-    };
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let row = table.lines().find(|l| l.contains(&format!(" {} {} ", hex(peer), hex(own))));
     let queues = row.and_then(|l| l.split_whitespace().nth(4)).unwrap_or("00000000:00000000");
@@ -783,6 +787,20 @@
             format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()),
         )
     }
+    /// Waits until no connection is left that waits to be accepted. The table of sockets tells.
+    pub fn has_accepted_all(&self) {
+        let begun = Instant::now();
+        loop {
+            let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+            let listens = format!(" {} 00000000:0000 0A ", hex(self.address));
+            let row = table.lines().find(|l| l.contains(&listens)).expect("it listens");
+            let queues = row.split_whitespace().nth(4).unwrap_or("");
+            if queues.ends_with(":00000000") {
+                return;
+            }
+            assert!(begun.elapsed() < PATIENCE, "connections wait to be accepted");
+        }
+    }
     /// Waits until so many requests are open in the program.
     pub fn has_open(&self, requests: u64) {
         let begun = Instant::now();
--- a/tests/system_calls.rs
+++ b/tests/system_calls.rs
@@ -1,7 +1,9 @@
 //! System calls that fail in the ways that the machine documents: what fails for a moment is made again, one bad
 //! connection harms no other, and what fails on this machine is not held against a database host.
 
-use futures_lite::future;
+use async_signal::Signal;
+use futures_lite::{future, stream};
+use sillfold::net::signals;
 use sillfold::net::world::{Door, Listener, Mail, Post, Stream, Wire};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -137,3 +139,17 @@
     }
     assert_eq!(taken, 3);
 }
+
+/// A read of the signals that fails is no order to stop.
+#[test]
+fn a_failed_read_of_signals_stops_nothing() {
+    let failed = |kind: ErrorKind| Err::<Signal, _>(io::Error::from(kind));
+    let come =
+        [failed(ErrorKind::Interrupted), Ok(Signal::Hup), failed(ErrorKind::OutOfMemory), Ok(Signal::Hup)];
+    let (stop, stopped) = async_channel::bounded(1);
+    let mut reloads = 0;
+    future::block_on(signals::follow(stream::iter(come), || reloads += 1, &stop));
+    assert_eq!((reloads, stopped.len()), (2, 0));
+    future::block_on(signals::follow(stream::iter([Ok(Signal::Term), Ok(Signal::Int)]), || {}, &stop));
+    assert_eq!(stopped.len(), 1);
+}
