Keep a newcomer through a stop, let a burst of them wait for their refusals; mend signals

Cause: the two red tests. Clients::accept held the connection itself while it waited for a place; it is the clients' owner's now, begun by whoever accepts next. Now the next one waits up to 0.25 s for its refusal, and the machine holds those behind it. signals.rs: an error is no order; SIGTERM and SIGINT alone are.

--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -36,6 +36,8 @@
 pub const DRAIN_AT_REST: Duration = Duration::from_millis(1_500);
 /// Connections past the limit that may hear a refusal at the same time.
 const REFUSALS: usize = 16;
+/// For how long one waits to hear its refusal.
+const REFUSED_LATER: Duration = Duration::from_millis(250);
 /// Descriptors that another process needs beside those of its clients and hosts.
 const OTHER_PROCESS: usize = 32;
 /// An id counts as taken for this long after its request was answered.
@@ -205,6 +207,21 @@
         Some((Slot::of(count, &self.ended.0), refused))
     }
 
+    /// Returns once there is a place for one more connection, if only to be refused on, or after a while without one.
+    /// Guards against a burst of newcomers that are closed over what they have written: until then the machine holds
+    /// those behind.
+    pub async fn until_place(&self) {
+        let has_none = || self.is_full() && self.refusing.get() >= REFUSALS;
+        let freed = async {
+            while has_none() {
+                let _ = self.ended.1.recv().await;
+            }
+        };
+        if has_none() {
+            by(world::now() + REFUSED_LATER, freed).await;
+        }
+    }
+
     /// Moves a connection that only has to end among those that hear a refusal, so that its place is free at once;
     /// false where they are too many.
     pub fn vacate(&self, slot: &mut Slot) -> bool {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -49,6 +49,8 @@
     way_back: Micros,
     /// How plain statements are read, if they are served.
     statements: RefCell<Option<Rc<Statements>>>,
+    /// A connection that was accepted and waits for a place. It outlasts whoever waits with it.
+    newcomer: RefCell<Option<Stream>>,
     executor: Spawner,
 }
 
@@ -62,6 +64,7 @@
             admission: Rc::new(admission),
             way_back,
             statements: RefCell::default(),
+            newcomer: RefCell::default(),
             executor,
         }
     }
@@ -79,11 +82,14 @@
     /// Accepts for as long as the future is kept.
     pub async fn accept(self: &Rc<Clients>, listener: &Listener) {
         self.admission.begin();
+        self.begin_newcomer();
         loop {
             match listener.accept().await {
                 Ok(stream) => {
+                    self.newcomer.replace(Some(stream));
                     self.admission.make_room().await;
-                    self.begin(stream);
+                    self.admission.until_place().await;
+                    self.begin_newcomer();
                     // It takes its seat before the next one may have to ask for a place.
                     future::yield_now().await;
                 }
@@ -97,12 +103,15 @@
 
     /// Takes what the machine has accepted already: those clients think they are connected.
     pub async fn accept_rest(self: &Rc<Clients>, listener: &Listener) {
+        self.begin_newcomer();
         let mut tries = ACCEPT_TRIES;
         while let Some(stream) = listener.accept_now() {
             match stream {
                 Ok(stream) => {
                     tries = ACCEPT_TRIES;
-                    self.begin(stream);
+                    self.newcomer.replace(Some(stream));
+                    self.admission.until_place().await;
+                    self.begin_newcomer();
                 }
                 Err(e) if tries == 0 => return warn!(target: "clients", "accepting at the stop: {e}"),
                 Err(e) => {
@@ -114,6 +123,12 @@
         }
     }
 
+    /// Guards against a stop that drops the connection for which a place was waited.
+    fn begin_newcomer(self: &Rc<Clients>) {
+        let newcomer = self.newcomer.take();
+        newcomer.into_iter().for_each(|stream| self.begin(stream));
+    }
+
     fn begin(self: &Rc<Clients>, stream: Stream) {
         let _ = stream.no_delay();
         stream.bound_sending();
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -1,9 +1,10 @@
 //! The signals that a running program follows: SIGHUP reads the configuration again, SIGTERM and SIGINT stop it in order. It
 //! owns what each one means. It must never read a file, nor end anything itself.
 
+use super::complain;
 use async_channel::Sender;
 use async_signal::Signal;
-use futures_lite::{Stream, StreamExt};
+use futures_lite::{Stream, StreamExt, future};
 use std::io;
 
 /// Follows signals for as long as they come.
@@ -14,7 +15,13 @@
         match signal {
             Ok(Signal::Hup) => reload(),
             // A second one changes nothing.
-            _ => drop(stop.try_send(())),
+            Ok(Signal::Term | Signal::Int) => drop(stop.try_send(())),
+            Ok(_) => {}
+            Err(e) => {
+                complain(|| format!("signals: {e}"));
+                // Guards against an error that comes again at once, and keeps all else from running.
+                future::yield_now().await;
+            }
         }
     }
 }
