--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,5 @@
 //! Stand-ins on loopback: database hosts that speak PostgreSQL's protocol, discovery's agent, the proxy as a
-//! process among them, and a client. For tests, the demonstration and measurements. Threads and the standard
-//! library only; it must never be linked into the proxy.
+//! process among them, and a client. For tests, the demonstration and measurements. It must never be linked into the proxy.
 #![warn(missing_docs)]
 
 mod agent;
@@ -8,6 +7,7 @@
 mod host;
 mod proxy;
 pub mod sim;
+pub mod soak;
 mod wire;
 
 pub use agent::{Agent, Entry};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,11 +3,13 @@
 mod days;
 mod experiment;
 mod measure;
+mod soaks;
 
 use clap::{Parser, Subcommand};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use sillfold_lab::sim::plan::Plan;
+use sillfold_lab::soak;
 use sillfold_lab::{Agent, Client, Entry, Group, Host, Options, Proxy, settings};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -153,6 +155,21 @@
         #[arg(long, default_value_t = 60)]
         shrink: usize,
     },
+    /// Run a few dozen real proxies among stand-ins while troubles overlap and system calls fail, once for each seed.
+    Soak {
+        /// Seeds from the first to before the second, as `1..101`.
+        #[arg(long, default_value = "1..4")]
+        seeds: String,
+        /// Runs that go on at the same time.
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
+        /// Proxies of a run.
+        #[arg(long, default_value_t = 24)]
+        proxies: usize,
+        /// The proxy's program, built with the feature `faults`.
+        #[arg(long, default_value = "target/faults/release/sillfold")]
+        program: PathBuf,
+    },
     /// Measure the memory that proxies hold after their start and after requests, in turn.
     Memory {
         /// Programs to compare.
@@ -188,6 +205,9 @@
             (None, Some(file)) => Plan::read(&file).map_err(io::Error::other).and_then(|p| days::replay(&p)),
             (None, None) => days::many(&seeds, jobs, shrink),
         },
+        Command::Soak { seeds, jobs, proxies, program } => {
+            soaks::many(&seeds, jobs, &soak::Options { program, proxies })
+        }
         Command::Memory { programs, requests } => measure::memory(&programs, requests),
     };
     match done {
--- a/crates/lab/src/sim/host.rs
+++ b/crates/lab/src/sim/host.rs
@@ -377,7 +377,8 @@
         };
         let (class, id) = (asked.class.clone(), asked.id);
         w.note(|| format!("host {host} has {id} from machine {peer}, session {} ", asked.session));
-        let origin = Origin { process: peer, connection, sent: w.sent(connection) };
+        let (sent, issued) = w.sent(connection);
+        let origin = Origin { process: peer, connection, sent, issued };
         let (mode, primary, started, place) = {
             let h = &self.hosts.borrow()[host];
             (h.mode, h.primary, h.started, Place { host, group: h.group, zone: h.zone })
--- a/crates/lab/src/sim/plan.rs
+++ b/crates/lab/src/sim/plan.rs
@@ -112,8 +112,16 @@
     AgentSilent(usize),
     /// Discovery's list stays as it is.
     AgentStale,
-    /// A proxy's wall clock is stepped by so many milliseconds.
+    /// A proxy's wall clock is stepped by so many milliseconds; processes that start meanwhile have it so.
     ClockStep(usize, i64),
+    /// Reads and writes of a proxy are interrupted now and then, and accepts are of connections that were given up.
+    Interruptions(usize),
+    /// So many percent of a proxy's dials and accepts fail for want of something on its machine.
+    Shortage(usize, u64),
+    /// One write of a proxy in so many is held up, up to 150 ms behind its look at the clock, and the proxy with it.
+    HoldUps(usize, u64),
+    /// The files of a proxy's disk cannot be read.
+    DiskUnreadable(usize),
     /// A proxy is killed, in the middle of so many steps of its tasks, and starts again.
     ProxyKilled(usize, u64),
     /// A new version of a proxy starts beside it, and the old one is told to stop at the end of this.
@@ -144,6 +152,41 @@
     RoleOnlyAnswers(usize, u64),
 }
 
+/// Wall clocks that are off, in milliseconds.
+const CLOCKS_OFF_MS: [i64; 4] = [-3_600_000, -5_000, 5_000, 3_600_000];
+
+/// System calls that fail, and wall clocks that are off as a process starts: each on a part of the days.
+fn system_faults(to: &mut impl FnMut(u64) -> u64, proxies: u64, hosts: u64) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let proxy = |to: &mut dyn FnMut(u64) -> u64| to(proxies) as usize;
+    if to(2) == 0 {
+        faults.push(Fault { at_ms: 0, for_ms: 40_000, what: What::Interruptions(proxy(to)) });
+    }
+    for _ in 0..to(3) {
+        let (at_ms, for_ms) = (1_000 + to(22_000), 20 + to(800));
+        faults.push(Fault { at_ms, for_ms, what: What::Shortage(proxy(to), 30 + to(71)) });
+    }
+    if to(3) == 0 {
+        let (at_ms, for_ms) = (1_000 + to(15_000), 1_000 + to(10_000));
+        faults.push(Fault { at_ms, for_ms, what: What::HoldUps(proxy(to), 20 + to(200)) });
+    }
+    if to(3) == 0 {
+        // Behind the step the process is replaced, and around that a host starts anew.
+        let (at_ms, proxy, host) = (1_000 + to(15_000), proxy(to), to(hosts) as usize);
+        let step = CLOCKS_OFF_MS[to(CLOCKS_OFF_MS.len() as u64) as usize];
+        faults.push(Fault { at_ms, for_ms: 60_000, what: What::ClockStep(proxy, step) });
+        let replaced_ms = at_ms + 100 + to(1_000);
+        faults.push(Fault { at_ms: replaced_ms, for_ms: 500 + to(2_000), what: What::ProxyReplaced(proxy) });
+        let killed_ms = (replaced_ms + to(4_000)).saturating_sub(1_500);
+        faults.push(Fault { at_ms: killed_ms, for_ms: 100 + to(1_000), what: What::HostKilled(host) });
+    }
+    if to(4) == 0 {
+        let (at_ms, for_ms, proxy) = (1_000 + to(20_000), 200 + to(1_500), proxy(to));
+        faults.push(Fault { at_ms, for_ms, what: What::DiskUnreadable(proxy) });
+    }
+    faults
+}
+
 impl Plan {
     /// A day drawn from a seed.
     pub fn of(seed: u64) -> Plan {
@@ -237,6 +280,8 @@
             proxies = 20 + to(MAX_PROXIES as u64 - 19) as usize;
             (clients, rest_ms, for_ms) = (1, 1_000 + 40 * proxies as u64, 12_000);
         }
+        faults.extend(system_faults(&mut to, proxies as u64, hosts));
+        faults.sort_by_key(|f| f.at_ms);
         let deployment = Some(Deployment::of(seed, proxies));
         Plan {
             seed,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -43,6 +43,16 @@
     /// How the log is written, to standard error.
     #[arg(long, value_name = "FORMAT", value_enum, default_value_t)]
     pub log: LogFormat,
+    /// How much is written: `debug` adds a line for each close, refusal, repeat and attempt that is not started.
+    #[arg(long, value_name = "LEVEL", value_enum, default_value_t, env = "SILLFOLD_LOG_LEVEL")]
+    pub log_level: LogLevel,
+}
+
+#[derive(Clone, Copy, Default, PartialEq, ValueEnum)]
+pub enum LogLevel {
+    #[default]
+    Info,
+    Debug,
 }
 
 #[derive(Clone, Copy, Default, PartialEq, ValueEnum)]
@@ -88,8 +98,12 @@
 }
 
 /// From here on what the program logs is written so.
-pub fn start_log(format: LogFormat) {
-    let log = tracing_subscriber::fmt().with_writer(io::stderr).with_ansi(false);
+pub fn start_log(format: LogFormat, level: LogLevel) {
+    let level = match level {
+        LogLevel::Info => tracing::Level::INFO,
+        LogLevel::Debug => tracing::Level::DEBUG,
+    };
+    let log = tracing_subscriber::fmt().with_writer(io::stderr).with_ansi(false).with_max_level(level);
     match format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().flatten_event(true).with_current_span(false).init(),
--- a/src/config.rs
+++ b/src/config.rs
@@ -58,6 +58,12 @@
     /// For how long clients are still taken in after SIGTERM.
     pub linger: Duration,
     pub way_back: Micros,
+    /// The seed by which system calls fail, in tests.
+    #[cfg(feature = "faults")]
+    pub faults: Option<u64>,
+    /// The wrong line that is to be in the program, in tests of what looks for it.
+    #[cfg(feature = "mutants")]
+    pub mutant: Option<String>,
     /// What the file itself says, to tell at a reload what is new.
     file: File,
 }
@@ -189,6 +195,10 @@
             talk,
             linger: Duration::from_millis(linger_ms),
             way_back: WAY_BACK,
+            #[cfg(feature = "mutants")]
+            mutant: var("SILLFOLD_MUTANT"),
+            #[cfg(feature = "faults")]
+            faults: var("SILLFOLD_FAULTS").and_then(|seed| seed.parse().ok()),
             file,
         })
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -38,17 +38,24 @@
 
 /// Serves until told to stop.
 fn run(options: &cli::Serve) -> ExitCode {
-    cli::start_log(options.log);
+    cli::start_log(options.log, options.log_level);
     let executor = Rc::new(LocalExecutor::new());
     let run = async {
         // Before anything can be asked of the program, so that no early signal kills it outright.
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
         let signals = signals.map_err(|e| format!("signals: {e}"))?;
         let config = Config::load()?;
+        #[cfg(feature = "mutants")]
+        config.mutant.iter().for_each(|name| sillfold::mutants::set(name.clone().leak()));
+        #[cfg(feature = "faults")]
+        config.faults.into_iter().for_each(sillfold::net::faults::start);
         let operator = Operator::load(options.operator.clone(), &config)?;
         serve(config, operator, signals, &executor).await
     };
-    match async_io::block_on(executor.run(run)) {
+    let ended = async_io::block_on(executor.run(run));
+    #[cfg(feature = "faults")]
+    eprintln!("faults met: {}", serde_json::json!(sillfold::net::faults::met()));
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("sillfold: {what}");
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -163,6 +163,10 @@
                     if let Some(statements) = self.clients.statements() {
                         figures["statements"] = json!(statements.figures());
                     }
+                    #[cfg(feature = "faults")]
+                    {
+                        figures["faults"] = json!(super::faults::met());
+                    }
                     if let Some(peers) = &self.peers {
                         figures["peers"] = json!(peers.figures());
                     }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -187,7 +187,7 @@
     pub retry_in: Micros,
     inner: RefCell<Inner>,
     /// Closes, refusals, repeats and broken invariants.
-    pub events: Events,
+    pub events: Rc<Events>,
     /// What a second run of each class's requests does.
     effects: Vec<Effect>,
     kept: Micros,
@@ -240,7 +240,7 @@
             dialect,
             retry_in,
             inner: RefCell::new(inner),
-            events: Events::default(),
+            events: Rc::default(),
             effects,
             kept,
             silent,
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -135,6 +135,11 @@
         Violation::ALL.iter().map(|v| (*v, counted.get(v).copied().unwrap_or(0))).collect()
     }
 
+    /// Whether an invariant was broken at all.
+    pub fn is_violated(&self) -> bool {
+        !self.violations.borrow().is_empty()
+    }
+
     /// The figures of this moment.
     pub fn figures(&self) -> EventFigures {
         EventFigures {
--- a/src/net/faults.rs
+++ b/src/net/faults.rs
@@ -64,8 +64,8 @@
     const HELD_UP_ONE_IN: u64 = 400;
     /// A short read or write takes so many bytes at most.
     const SHORTEST: u64 = 64;
-    /// The longest hold-up between the clock and a write.
-    const HELD_UP: Duration = Duration::from_millis(150);
+    /// The longest hold-up between the clock and a write, less what the machine sleeps longer than it is told.
+    const HELD_UP: Duration = Duration::from_millis(140);
     /// Shortages come in bursts, so many of them, each at a time within this span of the process's start.
     const BURSTS: u64 = 6;
     const SPAN_MS: u64 = 30_000;
@@ -152,13 +152,28 @@
         }
     }
 
+    fn name(errno: Errno) -> &'static str {
+        match errno {
+            Errno::INTR => "EINTR",
+            Errno::CONNABORTED => "ECONNABORTED",
+            Errno::NFILE => "ENFILE",
+            Errno::MFILE => "EMFILE",
+            Errno::NOBUFS => "ENOBUFS",
+            Errno::ADDRNOTAVAIL => "EADDRNOTAVAIL",
+            Errno::NETUNREACH => "ENETUNREACH",
+            Errno::NOSPC => "ENOSPC",
+            Errno::IO => "EIO",
+            _ => "another",
+        }
+    }
+
     /// What becomes of a call, before it is made.
     pub fn before(call: Call) -> io::Result<()> {
         let (fault, held_up) = SCHEDULE.with_borrow_mut(|schedule| {
             let Some(s) = schedule else { return (None, None) };
             let fault = s.fault(call);
             if let Some(errno) = fault {
-                s.count(format!("{call:?} {errno:?}"));
+                s.count(format!("{call:?} {}", name(errno)));
             }
             let held_up = call == Call::Write && fault.is_none() && s.one_in(HELD_UP_ONE_IN);
             let span = held_up.then(|| HELD_UP.mul_f64(s.lots.rand_float()));
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -31,7 +31,7 @@
 /// What another process may have said that is not read: some lines.
 const MOST_LINES: usize = 64 * 1024;
 /// An order that could not be read is read again this often.
-const READ_AGAIN: Duration = Duration::from_millis(250);
+const READ_AGAIN: Duration = Duration::from_millis(50);
 /// The wait before another process is accepted, or dialled, again where the machine lacks something.
 const SHORTAGE_WAIT: Duration = Duration::from_millis(20);
 /// How often it is dialled then.
--- a/src/net/world.rs
+++ b/src/net/world.rs
@@ -7,6 +7,7 @@
 #![allow(clippy::disallowed_methods, reason = "this is the one place")]
 
 use super::faults::{self, Call};
+use crate::mutants;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -428,7 +429,7 @@
 
 /// Whether a signal interrupted a call before it did anything: it is to be made again.
 fn is_interruption(e: &io::Error) -> bool {
-    e.kind() == ErrorKind::Interrupted
+    e.kind() == ErrorKind::Interrupted && !mutants::on("interruptions end connections")
 }
 
 /// The result of a call that is made again as often as a signal interrupts it.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -289,7 +289,8 @@
             retry_after: l.retry_after,
             max_retry_after: l.max_retry_after_us as u64,
             second_copies: l.second_copies,
-            max_attempts: l.most_tries as usize,
+            // Attempts are told apart by a byte.
+            max_attempts: l.most_tries.min(u32::from(u8::MAX)) as usize,
         },
         safety: Safety {
             drain_grace: s.drain_grace_us as u64,
