Test third processes, long stops, long values of which nothing comes, and want of descriptors

Change: two stories of processes beside each other, three of long values, one of a program with fewer descriptors than its configuration says; the soak's tasks hold their executor weakly.

--- a/crates/lab/src/soak/agent.rs
+++ b/crates/lab/src/soak/agent.rs
@@ -4,9 +4,9 @@
 use super::book::{Book, Source};
 use super::host::Hosts;
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use sillfold::net::world::Spawner;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -44,7 +44,7 @@
     }
 
     /// Listens for one more proxy.
-    pub fn listen(self: &Rc<Agent>, proxy: usize, executor: &Rc<LocalExecutor<'static>>) -> io::Result<()> {
+    pub fn listen(self: &Rc<Agent>, proxy: usize, spawner: &Spawner) -> io::Result<()> {
         let bind = || Async::<TcpListener>::bind(([127, 0, 0, 1], 0));
         let listeners = [bind()?, bind()?];
         let addresses = [listeners[0].get_ref().local_addr()?, listeners[1].get_ref().local_addr()?];
@@ -52,7 +52,7 @@
         let desk = Desk { addresses, down: Cell::default(), silent: Cell::default(), changed };
         self.desks.borrow_mut().push(Rc::new(desk));
         for listener in listeners {
-            let (agent, spawner) = (self.clone(), executor.clone());
+            let (agent, own) = (self.clone(), spawner.clone());
             let accept = async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     let agent = agent.clone();
@@ -60,10 +60,10 @@
                         // An error is the end of the connection.
                         let _ = agent.serve(proxy, stream).await;
                     };
-                    spawner.spawn(call).detach();
+                    own.spawn(call);
                 }
             };
-            executor.spawn(accept).detach();
+            spawner.spawn(accept);
         }
         Ok(())
     }
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -3,10 +3,10 @@
 
 use super::book::Book;
 use crate::wire;
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use oorandom::Rand64;
+use sillfold::net::world::Spawner;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -82,11 +82,11 @@
     }
 
     /// All hosts listen for one more proxy.
-    pub fn listen(self: &Rc<Hosts>, proxy: usize, executor: &Rc<LocalExecutor<'static>>) -> io::Result<()> {
+    pub fn listen(self: &Rc<Hosts>, proxy: usize, spawner: &Spawner) -> io::Result<()> {
         for n in 0..self.count() {
             let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
             self.hosts.borrow_mut()[n].addresses.push(listener.get_ref().local_addr()?);
-            let (hosts, spawner) = (self.clone(), executor.clone());
+            let (hosts, own) = (self.clone(), spawner.clone());
             let accept = async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     let hosts = hosts.clone();
@@ -94,10 +94,10 @@
                         // An error is the end of the connection.
                         let _ = hosts.serve(proxy, n, stream).await;
                     };
-                    spawner.spawn(session).detach();
+                    own.spawn(session);
                 }
             };
-            executor.spawn(accept).detach();
+            spawner.spawn(accept);
         }
         Ok(())
     }
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -18,6 +18,7 @@
 use host::{Hosts, Mode};
 use plan::{Plan, Trouble, What};
 use process::Slot;
+use sillfold::net::world::Spawner;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
@@ -92,10 +93,12 @@
         let book = Rc::new(RefCell::new(Book::default()));
         let hosts = Rc::new(Hosts::new(book.clone(), GROUPS, MEMBERS, seed));
         let agent = Rc::new(Agent::new(hosts.clone(), book.clone(), options.proxies));
+        // Tasks that held their own executor would outlive the run, and keep its sockets.
+        let spawner = Spawner::of(&executor);
         let mut slots = Vec::new();
         for n in 0..options.proxies {
-            hosts.listen(n, &executor)?;
-            agent.listen(n, &executor)?;
+            hosts.listen(n, &spawner)?;
+            agent.listen(n, &spawner)?;
             slots.push(Rc::new(Slot::new(n, seed, &options.program, &directory, &agent)?));
         }
         let plan = Plan::of(seed, options.proxies, GROUPS * MEMBERS);
--- a/tests/by_hand.rs
+++ b/tests/by_hand.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::path::PathBuf;
+use std::time::Duration;
 use support::*;
 
 fn served(value: &'static str) -> Host {
@@ -27,7 +28,12 @@
 
 /// A version beside this one that has its list.
 fn beside(proxy: &Proxy, hosts: &[&Host]) -> Proxy {
-    let next = proxy.beside();
+    beside_at(proxy, hosts, 1)
+}
+
+/// The same, the so manieth one.
+fn beside_at(proxy: &Proxy, hosts: &[&Host], nth: u16) -> Proxy {
+    let next = proxy.nth_beside(nth);
     let hosts: Vec<(&Host, &str)> = hosts.iter().map(|&h| (h, "SERVING")).collect();
     next.agent.line(&list(42, true, &hosts));
     next.logged("serves on");
@@ -67,3 +73,39 @@
     new.logged("was used again by hand");
     assert_eq!(new.figures()["hosts_down"], 0);
 }
+
+/// Of three processes the one in the middle is killed: the first and the third hear of each other's orders all the same.
+#[test]
+fn an_order_reaches_a_third_process_though_the_second_was_killed() {
+    let (primary, replica) = (served("primary"), served("replica"));
+    let hosts = [&primary, &replica];
+    let first = Proxy::with_console(&hosts, 1024);
+    let second = beside(&first, &hosts);
+    first.logged("a new process has started");
+    let third = beside_at(&first, &hosts, 2);
+    second.logged("a new process has started");
+    second.signal("KILL");
+    first.logged("the other process has ended");
+    third.logged("the other process has ended");
+    order(&first, &replica, "down");
+    third.logged("was left out by hand");
+    order(&third, &replica, "up");
+    first.logged("was used again by hand");
+}
+
+/// Nothing is heard of a process for longer than any silence that counts; when it goes on, orders reach it.
+#[test]
+fn a_process_that_is_stopped_for_a_while_is_not_taken_for_ended() {
+    let (primary, replica) = (served("primary"), served("replica"));
+    let hosts = [&primary, &replica];
+    let old = Proxy::with_console(&hosts, 1024);
+    let new = beside(&old, &hosts);
+    old.logged("a new process has started");
+    new.agent.asked();
+    old.freeze();
+    // The watch of the other is quiet meanwhile: only time passes.
+    assert_eq!(new.agent.asked_within(Duration::from_millis(2_600)), None);
+    old.thaw();
+    order(&new, &replica, "down");
+    old.logged("was left out by hand");
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -287,3 +287,53 @@
     assert_eq!(proxy.client().ask(&read("2", "history", 9000)).value.as_deref(), Some("v"));
     assert!([host.query(), host.query(), host.query()].iter().filter(|q| q.contains("id=1,")).count() == 1);
 }
+
+/// The beginning of an answer with a long value: its row is announced, and nothing of the value is there.
+fn announced() -> Vec<u8> {
+    let mut whole = row(&"x".repeat(LONG));
+    let description = 1 + u32::from_be_bytes([whole[1], whole[2], whole[3], whole[4]]) as usize;
+    // The message's head, the number of values, and the value's length.
+    whole.truncate(description + 5 + 2 + 4);
+    whole
+}
+
+/// Its client has nothing of it yet: it hears that it failed, in its time, and so do those behind it.
+#[test]
+fn a_long_value_of_which_nothing_comes_is_answered_as_failed_and_holds_up_nobody_behind_it() {
+    for reply in [Reply::Close(announced()), Reply::Bytes(announced())] {
+        let host = Host::start(move |_, text| match text {
+            _ if text.contains("long") => reply.clone(),
+            _ => Reply::Row("v"),
+        });
+        let proxy = Proxy::start(&[&host], 1024);
+        let mut client = proxy.client();
+        client
+            .send(&[read("long", "browse", 1_500), read("2", "history", 9_000)].map(|t| query(&t)).concat());
+        let first = client.answer();
+        assert_eq!((first.code.as_str(), first.end), ("40003", End::Ready), "{}", first.message);
+        let second = client.answer();
+        assert_eq!((second.value.as_deref(), second.end), (Some("v"), End::Ready));
+    }
+}
+
+/// A stop comes while a long value is on its way: its reader gets all of it before the program ends.
+#[test]
+fn a_stop_waits_for_a_long_value_that_is_on_its_way() {
+    let (reply, pieces) = Reply::in_pieces();
+    let host = Host::start(move |_, _| reply.clone());
+    let mut proxy = Proxy::start_with(&[&host], 1024, |c| c.replacen('{', "{\"linger_ms\":1,", 1));
+    let mut client = proxy.client();
+    client.send(&query(&read("long", "browse", 1_500)));
+    let long = row(&"x".repeat(LONG));
+    let (begun, rest) = long.split_at(LONG / 2);
+    pieces.send(begun.to_vec()).expect("the host waits");
+    assert_eq!(client.stream.peek(&mut [0]).expect("an answer"), 1);
+    proxy.signal("TERM");
+    proxy.logged("stops");
+    proxy.logged("gives its last answers");
+    pieces.send(rest.to_vec()).expect("the host waits");
+    drop(pieces);
+    assert_eq!(client.answer().value.map(|v| v.len()), Some(LONG));
+    assert_eq!(client.answer().end, End::Closed);
+    assert!(proxy.wait().success());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -742,15 +742,19 @@
     /// A new version beside this one, at the same address and in the same directory, with a door and an
     /// agent of its own. It knows no list, so it serves only once its agent has spoken.
     pub fn beside(&self) -> Proxy {
+        self.nth_beside(1)
+    }
+    /// The same, where others are beside it already.
+    pub fn nth_beside(&self, nth: u16) -> Proxy {
         let agent = Agent::start();
         let config = self.config.replace(&self.agent.address.to_string(), &agent.address.to_string());
         let (before, rest) = config.split_once(r#""known":"#).expect("a list");
         let (_, after) = rest.split_once(r#","settings""#).expect("settings");
         let known = r#"{"index":41,"snapshot":true,"endpoints":[]}"#;
         let config = format!(r#"{before}"known":{known},"settings"{after}"#);
-        let config = config.replace(&CONSOLE_PORT.to_string(), &(CONSOLE_PORT + 1).to_string());
+        let config = config.replace(&CONSOLE_PORT.to_string(), &(CONSOLE_PORT + nth).to_string());
         let mut proxy = Proxy::run(agent, self.address, config, self.directory.clone());
-        proxy.console.set_port(CONSOLE_PORT + 1);
+        proxy.console.set_port(CONSOLE_PORT + nth);
         proxy.owns_directory = false;
         proxy
     }
@@ -869,17 +873,22 @@
 }
 
 /// Starts the program on a configuration, whose file is returned too. The machine holds it to as many descriptors as its
-/// configuration says, where it says so.
+/// configuration says, where it says so; to fewer where it holds a key `descriptors`, which the program does not know.
 pub fn program(config: &str, env: &[(&str, &str)]) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let name = format!("sillfold-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("the configuration is written");
+    let named = config
+        .split("\"descriptors\":")
+        .nth(1)
+        .map(|n| n.split(|c: char| !c.is_ascii_digit()).next().unwrap_or(""));
     let sockets = config
         .split("\"sockets\":")
         .nth(1)
         .map(|n| n.split(|c: char| !c.is_ascii_digit()).next().unwrap_or(""));
-    let limit = sockets.filter(|n| n.parse().is_ok_and(|n: u32| n >= 96)).unwrap_or("1024");
+    let sockets = sockets.filter(|n| n.parse().is_ok_and(|n: u32| n >= 96));
+    let limit = named.or(sockets).unwrap_or("1024");
     let mut command = Command::new("sh");
     command.args(["-c", "ulimit -n \"$1\"; exec \"$0\""]).arg(env!("CARGO_BIN_EXE_sillfold")).arg(limit);
     for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONSOLE", "TMPDIR"] {
--- a/tests/system_calls.rs
+++ b/tests/system_calls.rs
@@ -1,6 +1,8 @@
 //! System calls that fail in the ways that the machine documents: what fails for a moment is made again, one bad
 //! connection harms no other, and what fails on this machine is not held against a database host.
 
+mod support;
+
 use async_signal::Signal;
 use futures_lite::{future, stream};
 use sillfold::net::signals;
@@ -153,3 +155,22 @@
     future::block_on(signals::follow(stream::iter([Ok(Signal::Term), Ok(Signal::Int)]), || {}, &stop));
     assert_eq!(stopped.len(), 1);
 }
+
+/// The machine gives fewer descriptors than the configuration says, and idle clients have them all: a request waits for one
+/// inside its dial, and no host is held to be out of reach.
+#[test]
+fn a_dial_that_fails_for_want_of_descriptors_is_not_held_against_its_host() {
+    use support::*;
+    let host = Host::start(|_, _| Reply::Row("v"));
+    let config = |c: String| add_console(c).replacen('{', "{\"descriptors\":48,", 1);
+    let proxy = Proxy::start_with(&[&host], 1024, config);
+    let mut asking = proxy.client();
+    let mut idle: Vec<Client> = (0..40).map(|_| Client::connect(proxy.address)).collect();
+    proxy.logged("accepting: Too many open files");
+    asking.send(&query(&read("1", "history", 9_000)));
+    proxy.logged("connecting: Too many open files");
+    idle.clear();
+    let answer = asking.answer();
+    assert_eq!((answer.value.as_deref(), answer.code.as_str()), (Some("v"), ""), "{}", answer.message);
+    assert_eq!(proxy.figures()["hosts_down"], 0);
+}
