Retry interrupted calls inside the call, check second attempts where they are heard

An async layer around each read and write, a copied id, a look-up for each attempt and a start carried along with its connection cost most of what could be found by reading. Change: EINTR is retried inside the closure that makes the call; a request's task sees a second order itself; Opened is as small as before; long statements are passed on by a type of their own.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -209,8 +209,8 @@
     pipeline: Pipeline<'a>,
     /// What was read behind them, and has to wait until all are answered.
     held: Option<Next<'a>>,
-    /// The id of the request that was read and whose answer is not written yet.
-    unanswered: Option<String>,
+    /// A request was read whose turn it is, and its answer is not written yet.
+    unanswered: bool,
     /// Who asks and where, as the startup message says; kept only where plain statements are served.
     who: Option<Box<(String, String)>>,
     /// What this session's plain statements have written.
@@ -236,7 +236,7 @@
     fn new(all: &'a Rc<Clients>, stream: Rc<Stream>, watch: &'a ClientWatch) -> Session<'a> {
         let (who, own, block, told) = Default::default();
         let (line, pipeline) = (Line::new(&all.admission, stream), Pipeline::new(watch));
-        Session { all, line, watch, pipeline, held: None, unanswered: None, who, own, block, told }
+        Session { all, line, watch, pipeline, held: None, unanswered: false, who, own, block, told }
     }
 
     /// The connection is about to be closed: tells why, and where it must not be.
@@ -244,10 +244,9 @@
         let (reason, events) = (self.line.close_reason(), &self.all.core.events);
         events.closed(reason);
         let held = matches!(&self.held, Some(Next::Request(request)) if matches!(**request, Ok(Some(_))));
-        let unanswered = usize::from(self.unanswered.is_some()) + self.pipeline.len() + usize::from(held);
+        let unanswered = usize::from(self.unanswered) + self.pipeline.len() + usize::from(held);
         if !invariants::may_close(reason, unanswered) {
-            let id = self.unanswered.as_deref().unwrap_or("");
-            let about = format_args!("{unanswered} requests, the first of them id {id:?}, {reason:?}");
+            let about = format_args!("{unanswered} requests, {reason:?}");
             events.violated(Violation::ClosedUnanswered, &about);
         }
     }
@@ -376,7 +375,7 @@
             }
         };
         self.line.asked = true;
-        self.unanswered = Some(asked.statement.id.clone());
+        self.unanswered = true;
         // The answers to commands before this one do not wait for its own.
         self.line.flush().await?;
         let footprint = self.footprint(&asked.call);
@@ -407,7 +406,7 @@
         let answer = match progress {
             Progress::Answered(answer) => answer,
             Progress::Unanswered { mut serving, .. } => {
-                self.unanswered = Some(String::new());
+                self.unanswered = true;
                 self.flush().await?;
                 self.drive(serving.as_mut(), footprint, false).await
             }
@@ -560,7 +559,7 @@
             match self.read_request(beginning, came, left) {
                 Ok(Some(asked)) => {
                     self.line.asked = true;
-                    self.unanswered = Some(asked.statement.id.clone());
+                    self.unanswered = true;
                     self.line.flush().await?;
                     let client = Client::Reading { line: &mut self.line, left: &mut left };
                     let mut life = self.all.life(client);
@@ -601,7 +600,7 @@
             self.line.end(CloseReason::ValueBrokenOff);
             return Ok(false);
         };
-        self.unanswered = None;
+        self.unanswered = false;
         if let Some(terms) = plain {
             self.note_plain(terms, &verdict);
         }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -7,7 +7,7 @@
 use super::events::{EventFigures, Events};
 use super::listing::{Listing, Status};
 use super::world;
-use crate::invariants::{RequestStart, Violation};
+use crate::invariants::RequestStart;
 use crate::mutants;
 use crate::settings::Dialect;
 use crate::talk;
@@ -157,8 +157,6 @@
     orders: Sender<Order>,
     give_up_at: Micros,
     attempts: u8,
-    /// An attempt was ordered, and has not ended.
-    is_out: bool,
     /// Its last bytes are still to come: it is not taken yet.
     coming: bool,
 }
@@ -391,9 +389,7 @@
             let mut inner = self.inner.borrow_mut();
             inner.last_id = inner.last_id.wrapping_add(1);
             let id = inner.last_id;
-            inner
-                .open
-                .insert(id, Open { orders, give_up_at: call.give_up_at, attempts: 0, is_out: false, coming });
+            inner.open.insert(id, Open { orders, give_up_at: call.give_up_at, attempts: 0, coming });
             id
         };
         let now = self.clock.now();
@@ -546,9 +542,6 @@
                     };
                     let order = Order::Attempt { server, number: open.attempts, until };
                     open.attempts = open.attempts.saturating_add(1);
-                    if std::mem::replace(&mut open.is_out, true) {
-                        self.events.violated(Violation::SecondAttempt, &format_args!("request {id}"));
-                    }
                     tell(open, order);
                 }
                 Action::Refuse { .. } | Action::Fail(_) if mutants::on("no final answer") => {}
@@ -708,9 +701,6 @@
     pub fn ended(&self, e: Ending) {
         let finished = self.answered.get() || e.outcome == Outcome::Ok;
         self.answered.set(finished);
-        if let Some(open) = self.core.inner.borrow_mut().open.get_mut(&self.id) {
-            open.is_out = false;
-        }
         let how = match e.outcome {
             Outcome::Ok => Tried::Served(e.latency.as_micros() as u64),
             Outcome::Miss => Tried::Missed,
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -100,12 +100,15 @@
     pub request: RequestStart,
 }
 
-/// A connection on which one attempt may be written, and what that rests on.
+/// A connection on which one attempt may be written.
 pub struct Opened {
     server: ServerId,
     connection: Connection,
+}
+
+/// What the start of an attempt rests on, and when that was asked.
+pub struct CheckedStart {
     start: Start,
-    /// When that was asked.
     at: Micros,
 }
 
@@ -342,12 +345,12 @@
         asks: impl Fn(Micros) -> Asking, written: impl FnOnce(), heard: &Cell<Report>,
     ) -> Attempted {
         let deadline = self.core.clock.instant(until);
-        let opened = match self.open(server, &statement.id, until, asks).await {
+        let (opened, start) = match self.open(server, &statement.id, until, asks).await {
             Ok(opened) => opened,
             Err(outcome) => return Attempted::without_answer(outcome),
         };
         let extra = if mutants::on("patience grows") { 1_000 } else { 0 };
-        let patience_ms = until.saturating_sub(opened.at).div_ceil(1_000).max(1) + extra;
+        let patience_ms = until.saturating_sub(start.at).div_ceil(1_000).max(1) + extra;
         let mut query = Vec::new();
         pg::put_query(&mut query, &statement.with_patience(patience_ms));
         match by(deadline, opened.connection.stream.write_all(&query)).await {
@@ -355,7 +358,7 @@
             Some(Err(_)) => return Attempted::without_answer(Outcome::ConnectFailed),
             None => return Attempted::without_answer(Outcome::Timeout),
         }
-        self.check(&opened, &statement.id, patience_ms * 1_000, until);
+        self.check(&opened, &start, &statement.id, patience_ms * 1_000, until);
         if statement.is_plain() {
             return self.plain_answer(opened, until, writes).await;
         }
@@ -363,11 +366,13 @@
     }
 
     /// Tells where an attempt that has been written must not have been.
-    pub fn check(&self, opened: &Opened, id: &str, patience: Micros, give_up_at: Micros) {
+    pub fn check(
+        &self, opened: &Opened, start: &CheckedStart, id: &str, patience: Micros, give_up_at: Micros,
+    ) {
         let now = self.core.clock.now();
-        let off_for = opened.start.off_for.map(|off| off + now.saturating_sub(opened.at));
+        let off_for = start.start.off_for.map(|off| off + now.saturating_sub(start.at));
         let started = Started { off_for, patience, give_up_at };
-        if let Some(violation) = invariants::check_started(&opened.start, &started, now) {
+        if let Some(violation) = invariants::check_started(&start.start, &started, now) {
             let address = opened.connection.address;
             self.core.events.violated(violation, &format_args!("id {id:?} at {address}"));
         }
@@ -450,7 +455,7 @@
     /// is up, however late: what the choice of the server rested on may be true no longer.
     pub async fn open(
         &self, server: ServerId, id: &str, until: Micros, asks: impl Fn(Micros) -> Asking,
-    ) -> Result<Opened, Outcome> {
+    ) -> Result<(Opened, CheckedStart), Outcome> {
         let deadline = self.core.clock.instant(until);
         let begun = world::now();
         let dialled = (begun + self.dial_timeout).min(deadline);
@@ -476,7 +481,7 @@
             }
             return Err(Outcome::Moot);
         }
-        Ok(Opened { server, connection, start, at })
+        Ok((Opened { server, connection }, CheckedStart { start, at }))
     }
 
     /// The answer to what was written, by this time at the latest. What it has told of the server counts, also where it
@@ -519,7 +524,7 @@
 
     /// What comes behind the value of a long answer: the command's tag, if it ends as it should.
     pub async fn finish(&self, long: Box<LongAnswer>) -> Option<String> {
-        let LongAnswer { opened: Opened { server, mut connection, .. }, write, .. } = *long;
+        let LongAnswer { opened: Opened { server, mut connection }, write, .. } = *long;
         let mut note = Report::default();
         let Backend::CommandComplete(tag) = by(world::now() + STALLED, connection.next(&mut note)).await??
         else {
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -5,7 +5,7 @@
 use super::admission::Admission;
 use super::core::{Call, Core, Ending, Order, Ticket};
 use super::events::RefusalReason;
-use super::hosts::{Asking, Attempted, Hosts, LongAnswer, Opened, PlainAnswer};
+use super::hosts::{Asking, Attempted, CheckedStart, Hosts, LongAnswer, Opened, PlainAnswer};
 use super::line::{Abandoned, Came, Line};
 use super::statements::Terms;
 use super::world::{self, Stream};
@@ -310,6 +310,10 @@
                     if once { Next::Done(refused()) } else { Next::Order(None) }
                 }
                 Happened::Ordered(other) => {
+                    if matches!(other, Order::Attempt { .. }) {
+                        let about = format_args!("id {:?}", statement.id);
+                        core.events.violated(Violation::SecondAttempt, &about);
+                    }
                     attempt.ended(&ticket, Outcome::Cancelled, heard.get());
                     Next::Order(Some(other))
                 }
@@ -432,10 +436,13 @@
             let client = &self.client;
             let asks = |now| Asking { client_left: client.has_left(), request: ticket.starts(now) };
             let opened = hosts.open(attempt.server, &statement.id, attempt.until, asks).await;
-            let opened = opened.map_err(Upload::NoConnection)?;
+            let (opened, start) = opened.map_err(Upload::NoConnection)?;
             match &mut self.client {
                 Client::Reading { line, left } => {
-                    pass_on_statement(line, hosts, opened, statement, left).await
+                    let mut upload = LongUpload { hosts, opened, statement, left };
+                    upload.begin(start).await?;
+                    upload.pass_on(line).await?;
+                    Ok(upload.opened)
                 }
                 // It is whole already.
                 Client::Watched(_) => Ok(opened),
@@ -463,31 +470,49 @@
     }
 }
 
-/// Passes on a long statement as its client writes it, up to its last byte.
-async fn pass_on_statement(
-    line: &mut Line<'_>, hosts: &Hosts, mut opened: Opened, statement: &Statement, left: &mut usize,
-) -> Result<Opened, Upload> {
-    let broken = |_| Upload::NoConnection(Outcome::ConnectFailed);
-    let mut piece = Vec::new();
-    pg::put_long_query(&mut piece, statement.text(), *left);
-    opened.write(&piece).await.map_err(broken)?;
-    // Its client's own time is passed on, and runs from its last byte.
-    hosts.check(&opened, &statement.id, 0, Micros::MAX);
-    while *left > 0 {
-        match line.more().await {
-            Ok(Came::Bytes) => {}
-            Ok(why) => {
-                // It hears so; the connection ends in either case.
-                let _ = line.over(why).await;
-                return Err(Upload::BrokenOff);
+/// A long statement that is passed on as its client writes it.
+struct LongUpload<'u> {
+    hosts: &'u Hosts,
+    opened: Opened,
+    statement: &'u Statement,
+    left: &'u mut usize,
+}
+
+impl LongUpload<'_> {
+    /// Passes on its beginning.
+    async fn begin(&mut self, start: CheckedStart) -> Result<(), Upload> {
+        let mut piece = Vec::new();
+        pg::put_long_query(&mut piece, self.statement.text(), *self.left);
+        self.write(&piece).await?;
+        // Its client's own time is passed on, and runs from its last byte.
+        self.hosts.check(&self.opened, &start, &self.statement.id, 0, Micros::MAX);
+        Ok(())
+    }
+
+    /// Passes on the rest, up to its last byte.
+    async fn pass_on(&mut self, line: &mut Line<'_>) -> Result<(), Upload> {
+        let mut piece = Vec::new();
+        while *self.left > 0 {
+            match line.more().await {
+                Ok(Came::Bytes) => {}
+                Ok(why) => {
+                    // It hears so; the connection ends in either case.
+                    let _ = line.over(why).await;
+                    return Err(Upload::BrokenOff);
+                }
+                Err(_) => return Err(Upload::BrokenOff),
             }
-            Err(_) => return Err(Upload::BrokenOff),
+            piece.clear();
+            *self.left -= line.inbox.move_to(&mut piece, *self.left);
+            self.write(&piece).await?;
         }
-        piece.clear();
-        *left -= line.inbox.move_to(&mut piece, *left);
-        opened.write(&piece).await.map_err(broken)?;
+        Ok(())
+    }
+
+    async fn write(&mut self, piece: &[u8]) -> Result<(), Upload> {
+        let written = self.opened.write(piece).await;
+        written.map_err(|_| Upload::NoConnection(Outcome::ConnectFailed))
     }
-    Ok(opened)
 }
 
 /// What came of a value that is passed on in pieces.
--- a/src/net/world.rs
+++ b/src/net/world.rs
@@ -298,23 +298,12 @@
     /// Waits for bytes, hands them to `take` and returns their number; 0 at the end of the connection.
     #[inline]
     pub async fn read_with(&self, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
-        loop {
-            match self.read_once(&mut take).await {
-                Err(e) if is_interruption(&e) => {}
-                read => return read,
-            }
-        }
-    }
-
-    /// One read, which a signal may interrupt.
-    #[inline]
-    async fn read_once(&self, take: &mut impl FnMut(&[u8])) -> io::Result<usize> {
         match self {
-            Stream::Machine(s) => s.read_with(|s| land(s, take)).await,
-            Stream::Local(s) => s.read_with(|s| land(s, take)).await,
+            Stream::Machine(s) => s.read_with(|s| land(s, &mut take)).await,
+            Stream::Local(s) => s.read_with(|s| land(s, &mut take)).await,
             Stream::Other(w) => {
                 let mut landing = vec![0; READ_BYTES];
-                let n = poll_fn(|cx| w.poll_read(cx, &mut landing)).await?;
+                let n = poll_fn(|cx| poll_uninterrupted(|| w.poll_read(cx, &mut landing))).await?;
                 take(&landing[..n]);
                 Ok(n)
             }
@@ -324,21 +313,10 @@
     /// Writes a part, at least a byte.
     #[inline]
     pub async fn write(&self, bytes: &[u8]) -> io::Result<usize> {
-        loop {
-            match self.write_once(bytes).await {
-                Err(e) if is_interruption(&e) => {}
-                written => return written,
-            }
-        }
-    }
-
-    /// One write, which a signal may interrupt.
-    #[inline]
-    async fn write_once(&self, bytes: &[u8]) -> io::Result<usize> {
         match self {
             Stream::Machine(s) => s.write_with(|s| put(s, bytes)).await,
             Stream::Local(s) => s.write_with(|s| put(s, bytes)).await,
-            Stream::Other(w) => poll_fn(|cx| w.poll_write(cx, bytes)).await,
+            Stream::Other(w) => poll_fn(|cx| poll_uninterrupted(|| w.poll_write(cx, bytes))).await,
         }
     }
 
@@ -412,10 +390,9 @@
 
 /// One read, to where every read lands first.
 fn land(mut from: impl Read, take: &mut impl FnMut(&[u8])) -> io::Result<usize> {
-    faults::before(Call::Read)?;
     LANDING.with_borrow_mut(|landing| {
         let most = faults::part(landing.len());
-        let n = from.read(&mut landing[..most])?;
+        let n = uninterrupted(|| faults::before(Call::Read).and_then(|()| from.read(&mut landing[..most])))?;
         take(&landing[..n]);
         Ok(n)
     })
@@ -423,8 +400,18 @@
 
 /// One write, of a part or all.
 fn put(mut to: impl Write, bytes: &[u8]) -> io::Result<usize> {
-    faults::before(Call::Write)?;
-    to.write(&bytes[..faults::part(bytes.len())])
+    let part = &bytes[..faults::part(bytes.len())];
+    uninterrupted(|| faults::before(Call::Write).and_then(|()| to.write(part)))
+}
+
+/// The same as `uninterrupted` of a call of a simulated world.
+fn poll_uninterrupted<T>(mut call: impl FnMut() -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+    loop {
+        match call() {
+            Poll::Ready(Err(e)) if is_interruption(&e) => {}
+            polled => return polled,
+        }
+    }
 }
 
 /// Whether a signal interrupted a call before it did anything: it is to be made again.
