Judge a soak's pipelined answers from their turn, and spare starting processes bad configurations

Change: the book counts from an answer's turn; bad configurations come to processes that have started.

--- a/crates/lab/src/soak/book.rs
+++ b/crates/lab/src/soak/book.rs
@@ -83,6 +83,8 @@
     proxy: usize,
     sent: Instant,
     left: Option<Instant>,
+    /// When the one before it on its connection was answered: the time before that does not count.
+    turn: Instant,
     /// When it was answered, or needs no answer any more.
     ended: Option<Instant>,
     attempts: Vec<Attempt>,
@@ -147,10 +149,18 @@
     /// A client has sent a request to a proxy.
     pub fn sends(&mut self, id: &str, class: Class, proxy: usize) {
         let sent = Instant::now();
-        let request = Request { class, proxy, sent, left: None, ended: None, attempts: Vec::new() };
+        let (left, ended, attempts) = Default::default();
+        let request = Request { class, proxy, sent, left, turn: sent, ended, attempts };
         self.requests.insert(id.to_string(), request);
     }
 
+    /// All that were sent before a request on its connection have been answered.
+    pub fn has_its_turn(&mut self, id: &str) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.turn = Instant::now();
+        }
+    }
+
     /// A client has closed the connection of a request that is open.
     pub fn leaves(&mut self, id: &str) {
         self.count("left");
@@ -241,12 +251,13 @@
         let now = Instant::now();
         let Some(request) = self.requests.get_mut(id) else { return };
         request.ended = Some(now);
-        let (sent, class, proxy) = (request.sent, request.class, request.proxy);
+        let (sent, class, proxy, turn) = (request.sent, request.class, request.proxy, request.turn);
         let was_begun = !request.attempts.is_empty();
         let served = request.attempts.iter().any(|a| a.state != State::NeverRan);
         let own = self.own_fault(sent, now);
         let was_killed = self.killed.get(&proxy).is_some_and(|at| *at >= sent);
-        let late = now.saturating_duration_since(sent + class.patience + LATE + 2 * HOLD_UP + own);
+        let due = (sent + class.patience).max(turn) + LATE + 2 * HOLD_UP + own;
+        let late = now.saturating_duration_since(due);
         if late > Duration::ZERO && !was_killed {
             self.breaks(format!(
                 "{id} of proxy {proxy}, {}: answered {late:?} too late: {end:?}",
--- a/crates/lab/src/soak/client.rs
+++ b/crates/lab/src/soak/client.rs
@@ -131,7 +131,10 @@
         // Answers stand behind one another: the time before one does not count.
         let patience: Duration = all.iter().map(|(.., class)| class.patience).sum();
         let until = Instant::now() + patience + LONGER;
-        for (id, ..) in &all {
+        for (n, (id, ..)) in all.iter().enumerate() {
+            if n > 0 {
+                self.book.borrow_mut().has_its_turn(id);
+            }
             let answer = async { Some(if open { read_answer(stream).await } else { Ok(End::Closed) }) };
             let too_late = async {
                 Timer::at(until).await;
--- a/crates/lab/src/soak/process.rs
+++ b/crates/lab/src/soak/process.rs
@@ -24,6 +24,8 @@
 const ENDS: Duration = Duration::from_millis(3_700);
 /// A process is held up for so long at most: with a failing call's hold-up behind it, more than the terms allow is not judged.
 const LONGEST_FREEZE: Duration = Duration::from_millis(80);
+/// A process has read its configuration by then.
+const STARTED: Duration = Duration::from_secs(1);
 /// The gap between two configurations in quick succession.
 const NEXT_RELOAD: Duration = Duration::from_millis(30);
 /// A call of an operator is answered by then, and tried again so often.
@@ -36,6 +38,7 @@
     id: u32,
     console: SocketAddr,
     config: PathBuf,
+    begun: Instant,
     /// Its end is no surprise.
     is_ending: Cell<bool>,
     log: Arc<Mutex<Vec<String>>>,
@@ -177,7 +180,15 @@
         }
         let id = child.id();
         let (child, is_ending) = (RefCell::new(child), Cell::new(false));
-        self.processes.borrow_mut().push(Rc::new(Process { child, id, console, config, is_ending, log }));
+        self.processes.borrow_mut().push(Rc::new(Process {
+            child,
+            id,
+            console,
+            config,
+            begun: Instant::now(),
+            is_ending,
+            log,
+        }));
         book.borrow_mut().starts(self.number);
         Ok(())
     }
@@ -257,7 +268,8 @@
 
     /// A configuration that will not do, and then the one before, of which the process is not told.
     pub async fn reload_badly(self: Rc<Slot>, book: &RefCell<Book>) {
-        let Some(process) = self.latest() else { return };
+        // One that still starts would not do with it, and end.
+        let Some(process) = self.latest().filter(|p| p.begun.elapsed() > STARTED) else { return };
         self.put_config(&process, "{\"name\":", book);
         process.signal("HUP");
         Timer::after(NEXT_RELOAD * 4).await;
