--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -35,11 +35,15 @@
     }
 }
 
+/// The seeds from the first to before the second of a text such as `1..101`.
+pub fn range(seeds: &str) -> io::Result<(u64, u64)> {
+    let ends = seeds.split_once("..").and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
+    ends.ok_or_else(|| io::Error::other(format!("seeds: {seeds:?} is no A..B")))
+}
+
 /// Simulates a day for each seed; the first that breaks a rule is made smaller and told.
 pub fn many(seeds: &str, jobs: usize, shrink: usize) -> io::Result<()> {
-    let bad = || io::Error::other(format!("seeds: {seeds:?} is no A..B"));
-    let (from, to) = seeds.split_once("..").ok_or_else(bad)?;
-    let (from, to) = (from.parse::<u64>().map_err(|_| bad())?, to.parse::<u64>().map_err(|_| bad())?);
+    let (from, to) = range(seeds)?;
     let (next, done) = (AtomicU64::new(from), Mutex::new(Vec::<(u64, Outcome)>::new()));
     let begun = Instant::now();
     let shows = io::stderr().is_terminal();
--- a/crates/lab/src/soaks.rs
+++ b/crates/lab/src/soaks.rs
@@ -1,5 +1,6 @@
 //! The command `soak`: many runs, a line for each, and their sums. A run that broke a rule leaves its logs behind.
 
+use crate::days::range;
 use sillfold_lab::soak::{self, Options, Report};
 use std::collections::BTreeMap;
 use std::io;
@@ -50,11 +51,6 @@
     if broken > 0 { Err(io::Error::other(format!("{broken} runs broke a rule"))) } else { Ok(()) }
 }
 
-fn range(seeds: &str) -> io::Result<(u64, u64)> {
-    let ends = seeds.split_once("..").and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
-    ends.ok_or_else(|| io::Error::other(format!("seeds: {seeds:?} is no A..B")))
-}
-
 fn sum<'a>(all: impl Iterator<Item = &'a BTreeMap<String, u64>>) -> BTreeMap<String, u64> {
     let mut sum = BTreeMap::new();
     all.flatten().for_each(|(what, n)| *sum.entry(what.clone()).or_default() += n);
