--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -156,8 +156,8 @@
     held: Vec<(Machine, Machine, Due)>,
     /// Machines without power.
     dark: BTreeSet<Machine>,
-    /// When a direction was last cut, or a machine last lost power.
-    last_cut: Option<Us>,
+    /// When directions were cut, or machines lost power.
+    cuts: Vec<Us>,
     accepted: (Machine, u64),
     /// Connections that a machine closed over bytes it had not read, or that were on their way: who sent them, who closed.
     closed_over: Vec<(Machine, Machine)>,
@@ -193,7 +193,7 @@
             cut: BTreeSet::new(),
             held: Vec::new(),
             dark: BTreeSet::new(),
-            last_cut: None,
+            cuts: Vec::new(),
             accepted: (0, 0),
             closed_over: Vec::new(),
             choppy,
@@ -286,7 +286,8 @@
         let mut w = self.0.borrow_mut();
         if cut {
             w.cut.insert((from, to));
-            w.last_cut = Some(w.now);
+            let now = w.now;
+            w.cuts.push(now);
             return;
         }
         w.cut.remove(&(from, to));
@@ -310,7 +311,8 @@
             w.dark.remove(&machine);
         } else {
             w.dark.insert(machine);
-            w.last_cut = Some(w.now);
+            let now = w.now;
+            w.cuts.push(now);
         }
     }
 
@@ -355,7 +357,7 @@
 
     /// Whether anything was cut, or lost its power, since this moment and by the other.
     pub fn was_cut(&self, since: Us, by: Us) -> bool {
-        self.0.borrow().last_cut.is_some_and(|at| (since..=by).contains(&at))
+        self.0.borrow().cuts.iter().any(|at| (since..=by).contains(at))
     }
 
     /// When what came last on an accepted connection was sent, and when its sender set out to.
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -190,3 +190,25 @@
         assert_eq!(run(&plan, false).broken, None, "seed {seed}");
     }
 }
+
+/// The folder cannot be read for longer than the grace of a drain while a new version starts beside one that has the order.
+#[test]
+fn an_order_by_hand_binds_a_version_that_starts_while_the_folder_cannot_be_read() {
+    let fault = |at_ms, for_ms, what| Fault { at_ms, for_ms, what };
+    let faults = vec![
+        fault(1_000, 6_000, What::ByHand(0, 1)),
+        fault(2_000, 2_500, What::DiskUnreadable(0)),
+        fault(2_200, 3_000, What::ProxyReplaced(0)),
+    ];
+    let plan = Plan {
+        proxies: 1,
+        groups: 1,
+        members: 3,
+        clients: 20,
+        rest_ms: 40,
+        for_ms: 8_000,
+        faults,
+        ..Plan::of(1)
+    };
+    assert_eq!(run(&plan, false).broken, None);
+}
