--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -20,6 +20,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tracing::debug;
 
 /// The pool is looked through this often for connections that ended or grew old.
 const UPKEEP: Duration = Duration::from_millis(500);
@@ -309,7 +310,10 @@
         }
         let now = world::now();
         if listing.full {
-            for (_, host) in hosts.iter_mut().filter(|(id, _)| !ids.contains(id)) {
+            for (id, host) in hosts.iter_mut().filter(|(id, _)| !ids.contains(id)) {
+                if host.off_since.is_none() {
+                    debug!(target: "hosts", address = %host.address, number = id, "not listed any more");
+                }
                 host.off_since.get_or_insert(now);
                 host.idle.clear();
             }
@@ -324,6 +328,9 @@
                 }
             }
             let Some(host) = hosts.get_mut(&id) else { continue };
+            if host.off_since.is_some() != (e.status != Status::Serving) {
+                debug!(target: "hosts", host = %e.name, status = ?e.status, "listed anew");
+            }
             match e.status {
                 Status::Serving => host.off_since = None,
                 Status::Draining => drop(host.off_since.get_or_insert(now)),
