--- a/crates/lab/src/sim/check.rs
+++ b/crates/lab/src/sim/check.rs
@@ -115,8 +115,6 @@
 
 /// A complete answer to a write is its client's within this time.
 const PASSED_ON_IN: Us = 250_000;
-/// So many attempts that begin for clients which left are no chance any more.
-const GONE_CASES: u32 = 3;
 
 /// What was seen, and what rule was broken first.
 pub struct Book {
@@ -130,9 +128,8 @@
     /// Since when each knows that operators leave a host out.
     by_hand: BTreeMap<(Machine, usize), Us>,
     cold_work: BTreeMap<usize, VecDeque<(Us, f64)>>,
-    /// When clients of open requests left, and attempts that began for one long after.
+    /// When clients of open requests left.
     left: BTreeMap<String, Us>,
-    begun_late: u32,
     /// What reads must reflect.
     pub freshness: Freshness,
     /// The first broken rule.
@@ -168,7 +165,6 @@
             by_hand: BTreeMap::new(),
             cold_work: BTreeMap::new(),
             left: BTreeMap::new(),
-            begun_late: 0,
             freshness: Freshness::default(),
             broken: None,
             counts: Counts::default(),
@@ -261,12 +257,8 @@
             faults.push(("nothing new to a draining host", what));
         }
         if let Some(left) = self.left.get(id).filter(|left| origin.issued > **left + f.gone + f.way) {
-            self.begun_late += 1;
-            if self.begun_late >= GONE_CASES {
-                let what =
-                    format!("{id} was sent {} us after its client had left, the {GONE_CASES}rd", sent - left);
-                faults.push(("nothing begun for a client that left", what));
-            }
+            let what = format!("{id} was sent {} us after its client had left", sent - left);
+            faults.push(("nothing begun for a client that left", what));
         }
         before.push(Attempt { place, connection, at: now, state: State::Out });
         let index = before.len() - 1;
