Tell orders by hand among processes; a new version takes clients once it knows them

Cause: processes learnt each other's orders from the folder alone (Upgrade::read_hands), and a new one took clients as soon as it had its list (Proxy::run), before it had heard anything of the process that it had met.

Mend: the line that processes exchange tells orders, each once; a new version takes clients once it has heard those of the processes before it, or they have ended, or 2 s are over. What was only heard gets into its file. An order that cannot be written holds nowhere, and its operator hears so.

Elsewhere: the limits, learnt from the line alone, were counted as free until the first line; the same wait covers them.

--- a/crates/lab/tests/mutants.rs
+++ b/crates/lab/tests/mutants.rs
@@ -305,3 +305,15 @@
     let plan = day_of(28, remembered(1_000), faults);
     caught("answers wait for readiness", "no complete answer is withheld", &plan);
 }
+
+/// A new version starts while the folder of orders cannot be read, and its neighbour tells it none.
+#[test]
+fn orders_by_hand_that_are_not_told() {
+    let faults = vec![
+        fault(1_000, 6_000, What::ByHand(0, 1)),
+        fault(2_000, 2_500, What::DiskUnreadable(0)),
+        fault(2_200, 3_000, What::ProxyReplaced(0)),
+    ];
+    let plan = Plan { proxies: 1, clients: 20, rest_ms: 40, ..day(50, Family::Await, faults) };
+    caught("orders are not told", "nothing new to a draining host", &plan);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,8 @@
 #[doc(hidden)]
 pub mod operator;
 #[doc(hidden)]
+pub mod orders;
+#[doc(hidden)]
 pub mod pg;
 #[doc(hidden)]
 pub mod talk;
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -132,8 +132,14 @@
             return no(404, format!("no database host is called {who:?}"));
         }
         match self.upgrade.by_hand(&who, out) {
-            Ok(()) => Answer(200, json!({"who": who, "down": out})),
-            Err(why) => no(500, why),
+            Ok(taken) => {
+                let body = json!({
+                    "who": who, "down": out, "processes": 1 + self.upgrade.meetings(),
+                    "outlasts_processes": taken.outlasts_process,
+                });
+                Answer(200, body)
+            }
+            Err(why) => no(500, format!("{why}; the order holds nowhere, nothing has changed")),
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,8 +3,8 @@
 //! the list as a message; `events` counts what happens by its reason; `core` owns the decision module, time and the figures; `capture` the record of load, `hosts`
 //! the connections to database hosts, `discovery` the watch of the list, `peers` the talk with other proxies,
 //! `statements` the desk for plain statements, `admission` clients' places, `line` their connections, `life` a request's
-//! life, `pipeline` the requests of a connection behind one another, `client` their sessions, `upgrade` what two processes
-//! share, `console` the operators' door, `proxy` all of them; `signals` what a
+//! life, `pipeline` the requests of a connection behind one another, `client` their sessions, `order_files` the files of orders by hand,
+//! `hand_orders` those orders in one process, `upgrade` what processes beside each other tell and share, `console` the operators' door, `proxy` all of them; `signals` what a
 //! running program follows.
 //! This file holds only what they share; it must never decide nor keep state beyond a moment.
 
@@ -20,10 +20,12 @@
 pub mod endpoints;
 pub mod events;
 pub mod faults;
+pub mod hand_orders;
 pub mod hosts;
 pub mod life;
 pub mod line;
 pub mod listing;
+pub mod order_files;
 pub mod peers;
 pub mod pipeline;
 pub mod proxy;
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -115,7 +115,8 @@
         // Beside another version no client comes here before it can be served.
         let ready = async {
             if upgrade.accompanied() {
-                future::or(core.ready(), upgrade.alone()).await;
+                let ready = future::zip(core.ready(), upgrade.until_introduced());
+                future::or(async { _ = ready.await }, upgrade.alone()).await;
             }
             true
         };
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -1,15 +1,15 @@
-//! Versions of the program side by side, and what must outlast an upgrade. It owns all that lies
-//! in `$TMPDIR`: a Unix socket, by which each process knows from its end that another lives and what
-//! it holds, and a file for each database host that operators left out or took back. It must never
-//! hinder a start: what is left over or cannot be read is logged, and the program goes on without.
+//! Versions of the program side by side: a Unix socket in `$TMPDIR`, by which each process knows from its end that another
+//! lives, what it holds of the limits and which orders by hand it knows. It must never hinder a start: what cannot be had
+//! is logged, and the program goes on without.
 
 use super::admission::Admission;
 use super::core::Core;
+use super::hand_orders::{HandOrders, Taken};
 use super::hosts::Hosts;
 use super::world::{self, Listener, Spawner, Stream};
-use super::{Held, complain};
-use crate::Micros;
+use super::{Held, by, complain};
 use crate::mutants;
+use crate::orders::ToldOrder;
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use serde::{Deserialize, Serialize};
@@ -22,39 +22,68 @@
 use tracing::info;
 
 const SOCKET: &str = "sillfold.sock";
-const HOSTS: &str = "hosts";
-/// Processes tell each other what they hold, and look for orders that another took, this often: well inside the grace of
-/// a drain.
+/// Processes tell each other what they hold, and new orders, this often: well inside the grace of a drain.
 const EXCHANGE: Duration = Duration::from_millis(50);
 /// A process that has said nothing for this long is not counted on to serve. It still holds what it held.
 const SILENT: Duration = Duration::from_secs(2);
-/// What another process may have said that is not read: some lines.
-const MOST_LINES: usize = 64 * 1024;
-/// An order that could not be read is read again this often.
+/// A new process waits for so long to hear what those that it found hold, and which orders they know.
+const INTRODUCTION: Duration = Duration::from_secs(2);
+/// What another process may have said that is not read, in bytes: some lines.
+const MAX_UNREAD_BYTES: usize = 64 * 1024;
+/// Orders in one line have names of so many bytes together: escaped as JSON, a line stays well inside the above.
+const MAX_NAME_BYTES_A_LINE: usize = 4 * 1024;
+/// The folder is read again this often while something in it could not be read, or a process of an earlier version,
+/// which tells no orders, runs beside this one.
 const READ_AGAIN: Duration = Duration::from_millis(50);
+/// An order that could not be written is written again this often.
+const WRITE_AGAIN: Duration = Duration::from_millis(500);
+/// The folder is read this often beside processes that tell their orders.
+const READ_BESIDE: Duration = Duration::from_secs(1);
 /// The wait before another process is accepted, or dialled, again where the machine lacks something.
 const SHORTAGE_WAIT: Duration = Duration::from_millis(20);
 /// How often it is dialled then.
 const DIALS: u32 = 100;
-/// That a host was used again is of no more use after this long: it is warm.
-const KEPT: Micros = 60_000_000;
 
-/// What processes tell each other, as a line.
-#[derive(Deserialize, Serialize)]
+/// What processes tell each other, as a line. Later versions may add keys.
+#[derive(Serialize)]
 struct Line {
-    /// Tells processes apart; 0 from one of a version that does not say it.
+    /// Tells processes apart.
+    process: u64,
+    #[serde(flatten)]
+    held: Held,
+    /// Orders by hand that changed since the line before.
+    orders: Vec<ToldOrder>,
+    /// Whether all orders that this process knows, and those that it waits to hear, have been told.
+    complete: bool,
+}
+
+/// The same as it is heard.
+#[derive(Deserialize)]
+struct HeardLine {
+    /// 0 from a process of a version that does not say it.
     #[serde(default)]
     process: u64,
     #[serde(flatten)]
     held: Held,
+    /// None from a process of a version that tells no orders. Each is read for itself: one that makes no sense hinders
+    /// no other.
+    orders: Option<Vec<serde_json::Value>>,
+    #[serde(default)]
+    complete: bool,
 }
 
 /// Another process, while it lives.
-struct Other {
+struct Peer {
     /// What it holds, with all that it knows of but this one.
     held: Held,
     /// When it last said so.
     heard: Instant,
+    /// Whether it ran before this one, which then waits for its introduction.
+    is_earlier: bool,
+    /// Whether it has told all that it holds and knows.
+    is_introduced: bool,
+    /// Whether it tells orders by hand.
+    tells_orders: bool,
 }
 
 pub struct Upgrade {
@@ -62,45 +91,38 @@
     core: Rc<Core>,
     admission: Rc<Admission>,
     hosts: Rc<Hosts>,
-    /// What each host's file said when it was last read or written.
-    seen: RefCell<BTreeMap<String, String>>,
-    /// Something in the folder could not be read, and has to be.
-    unread: Cell<bool>,
+    orders: HandOrders,
     /// Tells this process from others.
     process: u64,
     /// The other processes, by the number of the meeting.
-    others: RefCell<BTreeMap<u64, Other>>,
+    peers: RefCell<BTreeMap<u64, Peer>>,
     meetings: Cell<u64>,
     /// A later process has put its socket in the place of this one's.
     is_superseded: Cell<bool>,
     /// Told when another process has ended.
     ended: (Sender<()>, Receiver<()>),
+    /// Told when another process was heard for the first time, or has ended.
+    introduced: (Sender<()>, Receiver<()>),
+    /// Told when the folder is to be looked at.
+    folder_due: (Sender<()>, Receiver<()>),
 }
 
 impl Upgrade {
     pub fn new(dir: Option<PathBuf>, core: Rc<Core>, admission: Rc<Admission>, hosts: Rc<Hosts>) -> Upgrade {
-        let upgrade = Upgrade {
+        Upgrade {
+            orders: HandOrders::new(dir.as_deref(), core.clone()),
             dir,
             core,
             admission,
             hosts,
-            seen: RefCell::default(),
-            unread: Cell::default(),
             process: world::lot(),
-            others: RefCell::default(),
+            peers: RefCell::default(),
             meetings: Cell::default(),
             is_superseded: Cell::default(),
             ended: async_channel::bounded(1),
-        };
-        if let Some(dir) = &upgrade.dir
-            && let Err(e) = world::make_dirs(&dir.join(HOSTS))
-        {
-            info!(target: "upgrade", "{}: {e}; hosts left out by hand are forgotten with this process",
-                dir.display()
-            );
+            introduced: async_channel::bounded(1),
+            folder_due: async_channel::bounded(1),
         }
-        upgrade.read_hands(true);
-        upgrade
     }
 
     // ---- The other processes ----
@@ -108,17 +130,15 @@
     /// Finds the process that runs already, if there is one, and takes its place at the socket.
     pub fn meet(self: &Rc<Upgrade>, executor: &Spawner) {
         let Some(dir) = self.dir.clone() else { return };
-        if self.unread.get() {
-            let upgrade = self.clone();
-            executor.spawn(async move { upgrade.read_until_all_is_read().await });
-        }
+        let upgrade = self.clone();
+        executor.spawn(async move { upgrade.keep_folder().await });
         let (upgrade, spawner, path) = (self.clone(), executor.clone(), dir.join(SOCKET));
         match self.dial(&path) {
-            Dialled::Met(stream) => self.begin_exchange(stream, executor),
+            Dialled::Met(stream) => self.begin_exchange(stream, true, executor),
             Dialled::Nobody => {}
             Dialled::Shortage => {
                 // Whoever is there is counted on until that is known.
-                let number = self.meets();
+                let number = self.begin_meeting(true);
                 executor.spawn(async move { upgrade.meet_later(number, &path, &spawner).await });
                 return;
             }
@@ -144,14 +164,14 @@
             world::after(SHORTAGE_WAIT).await;
             match self.dial(path) {
                 Dialled::Met(stream) => {
-                    self.begin_exchange(stream, executor);
+                    self.begin_exchange(stream, true, executor);
                     break;
                 }
                 Dialled::Nobody => break,
                 Dialled::Shortage => {}
             }
         }
-        self.parts(number);
+        self.end_meeting(number);
         self.take_place(path, executor);
     }
 
@@ -175,7 +195,7 @@
                 Ok(stream) => {
                     info!(target: "upgrade", "a new process has started");
                     self.is_superseded.set(true);
-                    self.begin_exchange(stream, executor);
+                    self.begin_exchange(stream, false, executor);
                 }
                 Err(e) => {
                     complain(|| format!("upgrade: accepting: {e}"));
@@ -185,13 +205,13 @@
         }
     }
 
-    fn begin_exchange(self: &Rc<Upgrade>, stream: Stream, executor: &Spawner) {
-        let (upgrade, spawner, number) = (self.clone(), executor.clone(), self.meets());
+    fn begin_exchange(self: &Rc<Upgrade>, stream: Stream, is_earlier: bool, executor: &Spawner) {
+        let (upgrade, spawner, number) = (self.clone(), executor.clone(), self.begin_meeting(is_earlier));
         info!(target: "upgrade", "another process runs");
         let exchange = async move {
             let other = upgrade.exchange(&stream, number).await;
             drop(stream);
-            upgrade.parts(number);
+            upgrade.end_meeting(number);
             if other == Ended::Gone {
                 upgrade.meet_again(&spawner);
             }
@@ -203,52 +223,72 @@
     fn meet_again(self: &Rc<Upgrade>, executor: &Spawner) {
         let Some(dir) = self.dir.as_ref().filter(|_| self.is_superseded.get()) else { return };
         if let Dialled::Met(stream) = self.dial(&dir.join(SOCKET)) {
-            self.begin_exchange(stream, executor);
+            self.begin_exchange(stream, false, executor);
         }
     }
 
     /// Another process is met: the number of the meeting.
-    fn meets(&self) -> u64 {
+    fn begin_meeting(&self, is_earlier: bool) -> u64 {
         let number = self.meetings.get();
         self.meetings.set(number + 1);
-        self.hears(number, Held::default());
+        let peer = Peer {
+            held: Held::default(),
+            heard: world::now(),
+            is_earlier,
+            is_introduced: false,
+            tells_orders: true,
+        };
+        self.peers.borrow_mut().insert(number, peer);
+        self.share_limits();
         self.core.other_process(true);
+        let _ = self.folder_due.0.try_send(());
         number
     }
 
     /// That meeting is over.
-    fn parts(&self, number: u64) {
-        if self.others.borrow_mut().remove(&number).is_none() {
+    fn end_meeting(&self, number: u64) {
+        if self.peers.borrow_mut().remove(&number).is_none() {
             return;
         }
         info!(target: "upgrade", "the other process has ended");
         self.share_limits();
         self.core.other_process(self.accompanied());
-        self.read_hands(false);
+        self.orders.read_folder(false);
+        self.orders.save();
+        let _ = self.folder_due.0.try_send(());
         let _ = self.ended.0.try_send(());
+        let _ = self.introduced.0.try_send(());
     }
 
     /// Tells the other process what this one holds and hears the same of it, until it ends. A process that is stopped
     /// for a while says nothing, and holds on to what it has.
     async fn exchange(&self, stream: &Stream, number: u64) -> Ended {
-        let tell = async {
-            loop {
-                let line = Line { process: self.process, held: self.held_beside(number) };
-                let Ok(mut line) = serde_json::to_vec(&line) else { return Ended::Gone };
-                line.push(b'\n');
-                if stream.write_all(&line).await.is_err() {
-                    return Ended::Gone;
-                }
-                world::after(EXCHANGE).await;
+        future::or(self.hear(stream, number), self.tell(stream, number)).await
+    }
+
+    async fn tell(&self, stream: &Stream, number: u64) -> Ended {
+        let mut told = 0;
+        loop {
+            let (orders, last) = match self.orders.last_change() {
+                last if last == told || mutants::on("orders are not told") => (Vec::new(), last),
+                _ => self.orders.changed_after(told, MAX_NAME_BYTES_A_LINE),
+            };
+            told = last;
+            let all_told = told == self.orders.last_change();
+            let held = self.held_beside(number);
+            let complete = all_told && self.is_introduced();
+            let Ok(mut line) = serde_json::to_vec(&Line { process: self.process, held, orders, complete })
+            else {
+                return Ended::Gone;
+            };
+            line.push(b'\n');
+            if stream.write_all(&line).await.is_err() {
+                return Ended::Gone;
             }
-        };
-        let read_hands = async {
-            loop {
-                self.read_hands(false);
+            if all_told {
                 world::after(EXCHANGE).await;
             }
-        };
-        future::or(self.hear(stream, number), future::or(tell, read_hands)).await
+        }
     }
 
     async fn hear(&self, stream: &Stream, number: u64) -> Ended {
@@ -257,14 +297,14 @@
             let Some(end) = came.iter().position(|b| *b == b'\n') else {
                 let read = stream.read_with(|part| came.extend(part)).await;
                 // Guards against a line without an end.
-                if !matches!(read, Ok(1..)) || came.len() > MOST_LINES {
+                if !matches!(read, Ok(1..)) || came.len() > MAX_UNREAD_BYTES {
                     return Ended::Gone;
                 }
                 continue;
             };
-            match serde_json::from_slice::<Line>(&came[..end]) {
+            match serde_json::from_slice::<HeardLine>(&came[..end]) {
                 Ok(line) if line.process == self.process => return Ended::Itself,
-                Ok(line) => self.hears(number, line.held),
+                Ok(line) => self.take_in(number, line),
                 Err(e) => {
                     info!(target: "upgrade", "the other process: {e}");
                     return Ended::Gone;
@@ -279,36 +319,69 @@
         let (clients, bytes) = self.admission.held();
         let ready = self.admission.unready().is_none();
         let own = Held { ready, clients, bytes, hosts: self.hosts.held() };
-        let others = self.others.borrow();
-        others.iter().filter(|(n, _)| **n != number).fold(own, |sum, (_, other)| sum.with(&other.held))
+        let peers = self.peers.borrow();
+        peers.iter().filter(|(n, _)| **n != number).fold(own, |sum, (_, peer)| sum.with(&peer.held))
     }
 
-    /// Another process says what it holds.
-    fn hears(&self, number: u64, held: Held) {
-        self.others.borrow_mut().insert(number, Other { held, heard: world::now() });
+    /// Another process says what it holds and knows.
+    fn take_in(&self, number: u64, line: HeardLine) {
+        let tells_orders = line.orders.is_some();
+        line.orders.iter().flatten().for_each(|told| self.orders.hear(told));
+        let was_introduced = {
+            let mut peers = self.peers.borrow_mut();
+            let Some(peer) = peers.get_mut(&number) else { return };
+            (peer.held, peer.heard, peer.tells_orders) = (line.held, world::now(), tells_orders);
+            let was_introduced = peer.is_introduced;
+            // A version that tells no orders has said all it has to say.
+            peer.is_introduced |= line.complete || !tells_orders;
+            was_introduced
+        };
         self.share_limits();
+        if !was_introduced {
+            let _ = self.introduced.0.try_send(());
+            let _ = self.folder_due.0.try_send(());
+        }
+    }
+
+    /// Whether each process that ran before this one has told all that it holds and knows.
+    fn is_introduced(&self) -> bool {
+        self.peers.borrow().values().all(|peer| !peer.is_earlier || peer.is_introduced)
+    }
+
+    /// Returns once that is so, or after a while: one that is held up must not hinder a start. Guards against a first
+    /// request that goes to a host which only the process before knows to be left out, and against taking a limit's part
+    /// that it holds.
+    pub async fn until_introduced(&self) {
+        let introduced = async {
+            while !self.is_introduced() {
+                let _ = self.introduced.1.recv().await;
+            }
+        };
+        if by(world::now() + INTRODUCTION, introduced).await.is_none() {
+            info!(target: "upgrade", "the other process says nothing; not waited for any longer");
+        }
     }
 
     /// All together stay inside the limits: what nobody holds is shared out evenly.
     fn share_limits(&self) {
-        let others = self.others.borrow().values().map(|o| o.held).reduce(|sum, held| sum.with(&held));
+        let others = self.peers.borrow().values().map(|peer| peer.held).reduce(|sum, held| sum.with(&held));
         self.admission.share(others);
         self.hosts.share(others);
     }
 
     /// Whether another process lives.
     pub fn accompanied(&self) -> bool {
-        !self.others.borrow().is_empty()
+        !self.peers.borrow().is_empty()
     }
 
     /// Whether another process takes clients.
     pub fn relieved(&self) -> bool {
-        self.others.borrow().values().any(|o| o.held.ready && world::since(o.heard) < SILENT)
+        self.peers.borrow().values().any(|peer| peer.held.ready && world::since(peer.heard) < SILENT)
     }
 
     /// Connections to other processes that are open.
     pub fn meetings(&self) -> usize {
-        self.others.borrow().len()
+        self.peers.borrow().len()
     }
 
     /// Returns once no other process lives.
@@ -318,85 +391,39 @@
         }
     }
 
-    // ---- Hosts by hand ----
+    // ---- Orders by hand ----
 
-    /// Leaves a database host out, or uses it again, here and in the other process; the error is why not.
-    /// It is in the file before this returns.
-    pub fn by_hand(&self, name: &str, out: bool) -> Result<(), String> {
-        if self.core.is_out(name) == out {
-            return Ok(());
-        }
-        let since = self.core.clock.now();
-        let text = format!("{} {since}", if out { "down" } else { "up" });
-        if let Some(dir) = &self.dir {
-            let dir = dir.join(HOSTS);
-            // It may not have been possible at the start.
-            let _ = world::make_dirs(&dir);
-            let (path, next) = (dir.join(file_name(name)), dir.join(format!(".{}", world::lot())));
-            let put = world::put_whole(&path, &next, &text);
-            put.map_err(|e| format!("{}: {e}", path.display()))?;
-            self.seen.borrow_mut().insert(name.to_string(), text);
-        }
-        info!(target: "upgrade", "{name} is {} by hand", if out { "left out" } else { "used again" });
-        self.core.by_hand(name, out, since);
-        Ok(())
-    }
-
-    /// Reads on until nothing is left that could not be read: guards against a host that comes back into use since its
-    /// file could not be read at the start.
-    async fn read_until_all_is_read(&self) {
-        while self.unread.get() {
-            world::after(READ_AGAIN).await;
-            self.read_hands(false);
-        }
+    /// Leaves a database host out, or uses it again, here and in other processes; the error is why not, and nothing has
+    /// changed then.
+    pub fn by_hand(&self, host: &str, out: bool) -> Result<Taken, String> {
+        self.orders.give(host, out)
     }
 
-    /// Takes in what the files say that was not seen yet.
-    fn read_hands(&self, starting: bool) {
-        let Some(dir) = self.dir.as_ref().filter(|_| !mutants::on("files are not read")) else { return };
-        let paths = match world::list(&dir.join(HOSTS)) {
-            Ok(paths) => paths,
-            Err(e) => {
-                complain(|| format!("upgrade: {}: {e}; read again", dir.join(HOSTS).display()));
-                return self.unread.set(true);
-            }
-        };
-        let mut unread = false;
-        for path in paths {
-            let leave = || info!(target: "upgrade", "{}: unreadable, left as it is", path.display());
-            let Some(name) = host_named(&path) else {
-                if starting {
-                    leave();
+    /// Reads the folder and writes what is missing there, as often as that may bring something, for as long as the
+    /// program runs.
+    async fn keep_folder(&self) {
+        loop {
+            let due = async {
+                match self.folder_wait() {
+                    Some(wait) => world::after(wait).await,
+                    None => future::pending().await,
                 }
-                continue;
             };
-            match world::read_text(&path).map(|text| Order::parse(&text).map(|order| (text, order))) {
-                Ok(Some((text, order))) => self.take_order(&path, &name, text, order),
-                Ok(None) if starting => leave(),
-                Ok(None) => {}
-                Err(e) if e.kind() == io::ErrorKind::NotFound => {}
-                Err(e) => {
-                    unread = true;
-                    complain(|| format!("upgrade: {}: {e}; read again", path.display()));
-                }
-            }
+            future::or(due, async { _ = self.folder_due.1.recv().await }).await;
+            self.orders.read_folder(false);
+            self.orders.save();
         }
-        self.unread.set(unread);
     }
 
-    /// An order that was not seen yet counts, whatever time it tells: it may be that of another clock.
-    fn take_order(&self, path: &Path, name: &str, text: String, order: Order) {
-        if self.seen.borrow().get(name) == Some(&text) {
-            return;
-        }
-        self.seen.borrow_mut().insert(name.to_string(), text);
-        let Order { out, since } = order;
-        if out || self.core.is_out(name) || since + KEPT > self.core.clock.now() {
-            info!(target: "upgrade", "{name} was {} by hand", if out { "left out" } else { "used again" });
-            self.core.by_hand(name, out, since);
+    /// When the folder is to be looked at again; never, where nobody else could have changed it and nothing is missing.
+    fn folder_wait(&self) -> Option<Duration> {
+        let hears_by_folder = self.peers.borrow().values().any(|peer| !peer.tells_orders);
+        if self.orders.is_unread() || hears_by_folder {
+            Some(READ_AGAIN)
+        } else if self.orders.is_unsaved() {
+            Some(WRITE_AGAIN)
         } else {
-            // Warm for long: it says nothing any more.
-            let _ = world::remove(path);
+            Some(READ_BESIDE).filter(|_| self.accompanied())
         }
     }
 }
@@ -416,33 +443,3 @@
     /// This process met itself.
     Itself,
 }
-
-/// What operators ordered of a host, as its file says.
-struct Order {
-    out: bool,
-    since: Micros,
-}
-
-impl Order {
-    fn parse(text: &str) -> Option<Order> {
-        let (state, since) = text.split_once(' ')?;
-        let out = match state {
-            "down" => true,
-            "up" => false,
-            _ => return None,
-        };
-        Some(Order { out, since: since.parse().ok()? })
-    }
-}
-
-/// A host's name as a file's: names are any text.
-fn file_name(name: &str) -> String {
-    name.bytes().map(|b| format!("{b:02x}")).collect()
-}
-
-/// The host whose file this is.
-fn host_named(path: &Path) -> Option<String> {
-    let hex = path.file_name()?.to_str()?;
-    let pairs = hex.as_bytes().chunks(2).map(|p| u8::from_str_radix(std::str::from_utf8(p).ok()?, 16).ok());
-    String::from_utf8(pairs.collect::<Option<_>>()?).ok()
-}
