Show by a failing test that a value which breaks off loses the requests behind it

A host that breaks off a long value of which its client has a part ends the client's connection, and the requests that were read behind the value have no answer (counted as closed_unanswered).

--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -288,6 +288,41 @@
     assert!([host.query(), host.query(), host.query()].iter().filter(|q| q.contains("id=1,")).count() == 1);
 }
 
+/// A host broke off a long value of which its client had a part, and the connection was closed over requests that were
+/// read behind it: the console counted them as `closed_unanswered`, "2 requests, ValueBrokenOff" in the log. Only the value
+/// is lost by that: its client has an error in place of the command's end, and those behind it their answers.
+#[test]
+fn a_long_value_that_breaks_off_leaves_the_requests_behind_it_their_answers() {
+    for is_behind_at_once in [true, false] {
+        let (reply, pieces) = Reply::in_pieces();
+        let host = Host::start(move |_, text| match text {
+            _ if text.contains("id=long,") => reply.clone(),
+            _ => Reply::Row("v"),
+        });
+        let proxy = Proxy::with_console(&[&host], 1024);
+        let mut client = proxy.client();
+        let behind = ["2", "3"].map(|id| query(&read(id, "history", 9_000))).concat();
+        client.send(&query(&read("long", "browse", 9_000)));
+        if is_behind_at_once {
+            client.send(&behind);
+        }
+        pieces.send(row(&"x".repeat(LONG))[..LONG / 2].to_vec()).expect("the host waits");
+        assert_eq!(client.stream.peek(&mut [0]).expect("an answer"), 1);
+        if !is_behind_at_once {
+            client.send(&behind);
+        }
+        drop(pieces);
+        host.end_connections(b"");
+        let first = client.answer();
+        assert_eq!((first.code.as_str(), first.end), ("40003", End::Ready), "{}", first.message);
+        for _ in 0..2 {
+            let next = client.answer();
+            assert_eq!((next.value.as_deref(), next.end), (Some("v"), End::Ready));
+        }
+        assert_eq!(proxy.figures()["invariants"]["closed_unanswered"], 0);
+    }
+}
+
 /// The beginning of an answer with a long value: its row is announced, and nothing of the value is there.
 fn announced() -> Vec<u8> {
     let mut whole = row(&"x".repeat(LONG));
