Fill a value that breaks off and fail it in words where requests came behind it

Symptom: a host that broke off a long value ended its client's connection over requests that were read behind it; they had no answer.

Cause: the end of the connection was the only word for a value that is not whole (Session::pass_on, ValueBrokenOff).

Mend: where anything came behind the request, read or not, the value is filled up to the length that its row announced, and the error 40003 stands in place of the command's end. It holds since the message ends where it said it would, so the next answer begins where the client expects it, and a command that ends in an error has no result. Where nothing came behind it the connection ends as before. Not mended: answers to plain statements that break off inside a message.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -8,7 +8,8 @@
 use super::events::RefusalReason;
 use super::hosts::Hosts;
 use super::life::{
-    Answer, Client, ClientWatch, Life, PassedOn, Verdict, give_up_at, pass_on_plain, pass_on_value,
+    Answer, Client, ClientWatch, Life, PassedOn, Verdict, fill_value, give_up_at, pass_on_plain,
+    pass_on_value,
 };
 use super::line::{Abandoned, Ahead, Came, Line, ReadAhead, put_fatal};
 use super::pipeline::{Entry, Footprint, Pipeline, Progress};
@@ -615,6 +616,11 @@
         Ok(true)
     }
 
+    /// Whether something came behind the request whose turn it is, also where it was not read yet.
+    fn has_requests_behind(&self) -> bool {
+        !self.pipeline.is_empty() || self.held.is_some() || self.line.has_more()
+    }
+
     /// Passes on what does not fit into the memory, and works on the requests behind it meanwhile. Nothing if the host
     /// broke it off.
     async fn pass_on(&mut self, answer: Answer) -> Option<Verdict> {
@@ -623,7 +629,12 @@
             Answer::Long(long) => match self.pipeline.beside(pass_on_value(line, hosts, long)).await {
                 PassedOn::Whole => Some(Verdict::Passed),
                 PassedOn::Nothing => Some(Verdict::Failed),
-                PassedOn::BrokenOff => None,
+                PassedOn::BrokenOff { missing } if self.has_requests_behind() => {
+                    // The end of the connection would be the clearer word, but it would take their answers with it.
+                    self.pipeline.beside(fill_value(&mut self.line, missing)).await.ok()?;
+                    Some(Verdict::Failed)
+                }
+                PassedOn::BrokenOff { .. } | PassedOn::NotTaken => None,
             },
             Answer::Stream(stream) => {
                 let told_at = pass_on_plain(line, hosts, stream).await?;
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -141,6 +141,11 @@
 }
 
 impl LongAnswer {
+    /// Bytes of the value that are still to come.
+    pub fn missing(&self) -> usize {
+        self.left
+    }
+
     /// Appends what has come of the value; 0 at its end, an error where it breaks off.
     pub async fn piece(&mut self, out: &mut Vec<u8>) -> io::Result<usize> {
         let c = &mut self.opened.connection;
--- a/src/net/life.rs
+++ b/src/net/life.rs
@@ -16,11 +16,14 @@
 use futures_lite::future;
 use std::cell::Cell;
 use std::future::poll_fn;
+use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
+/// A value that was broken off is filled in pieces of so many bytes.
+const FILLER_BYTES: usize = 32 * 1024;
 /// The longest wait that is believed of a client.
 const MOST_PATIENCE_MS: u64 = 60_000;
 
@@ -520,8 +523,12 @@
     Whole,
     /// Its host broke it off before the client had any of it.
     Nothing,
-    /// Its host broke it off, and only the end of the connection tells the client so; or the client is gone.
-    BrokenOff,
+    /// Its host broke it off, so many bytes before its end.
+    BrokenOff {
+        missing: usize,
+    },
+    /// Its client takes nothing any more.
+    NotTaken,
 }
 
 /// Passes on a value as fast as its client takes it.
@@ -533,7 +540,7 @@
         match long.piece(&mut line.out).await {
             Ok(0) => break,
             Ok(_) => {}
-            Err(_) if begun => return PassedOn::BrokenOff,
+            Err(_) if begun => return PassedOn::BrokenOff { missing: long.missing() },
             Err(_) => {
                 line.out.truncate(before);
                 return PassedOn::Nothing;
@@ -541,7 +548,7 @@
         }
         begun = true;
         if line.flush().await.is_err() {
-            return PassedOn::BrokenOff;
+            return PassedOn::NotTaken;
         }
     }
     match hosts.finish(long).await {
@@ -549,8 +556,20 @@
             pg::put_complete(&mut line.out, &tag);
             PassedOn::Whole
         }
-        None => PassedOn::BrokenOff,
+        None => PassedOn::BrokenOff { missing: 0 },
+    }
+}
+
+/// Fills a value that was broken off up to its length, so that the message ends and others can follow it. An error in place
+/// of the command's end tells the client that the value is none.
+pub async fn fill_value(line: &mut Line<'_>, mut missing: usize) -> io::Result<()> {
+    while missing > 0 {
+        let piece = missing.min(FILLER_BYTES);
+        line.out.resize(line.out.len() + piece, b' ');
+        line.flush().await?;
+        missing -= piece;
     }
+    Ok(())
 }
 
 /// Passes on the answer to a plain statement as fast as its client takes it: what it tells of its commit. Nothing if the
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -148,6 +148,11 @@
         self.ends.get_or_insert(reason);
     }
 
+    /// Whether its client has sent something that is not taken yet.
+    pub fn has_more(&self) -> bool {
+        !self.inbox.is_empty() || !self.stream.quiet()
+    }
+
     /// Why it ends: its client has ended it where nothing else is known.
     pub fn close_reason(&self) -> CloseReason {
         self.ends.unwrap_or(CloseReason::ClientEnded)
