Listen at the meeting place again once the version that stood there has ended

Symptom: a version starts beside the running one and is taken back; the next version meets nobody. Both hold all limits, and a stop does not know that it is relieved.

Cause: the later version's socket takes the place of the earlier one's, and nobody came back to it when the later one ended.

Mend: a superseded process that finds nobody at the place takes it again, and gives up the listener that nobody can reach. It holds for any number of versions, since each that meets an end looks there.

--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -99,6 +99,8 @@
     meetings: Cell<u64>,
     /// A later process has put its socket in the place of this one's.
     is_superseded: Cell<bool>,
+    /// Closed once this process listens at a new socket.
+    place: RefCell<Option<Sender<()>>>,
     /// Told when another process has ended.
     ended: (Sender<()>, Receiver<()>),
     /// Told when another process was heard for the first time, or has ended.
@@ -119,6 +121,7 @@
             peers: RefCell::default(),
             meetings: Cell::default(),
             is_superseded: Cell::default(),
+            place: RefCell::default(),
             ended: async_channel::bounded(1),
             introduced: async_channel::bounded(1),
             folder_due: async_channel::bounded(1),
@@ -184,8 +187,13 @@
                 return info!(target: "upgrade", "{}: {e}; a new version will not find this one", own.display());
             }
         };
+        // Nobody can reach a listener that stood there before.
+        let (place, left) = async_channel::bounded(1);
+        self.place.replace(Some(place));
         let (upgrade, spawner) = (self.clone(), executor.clone());
-        executor.spawn(async move { upgrade.accept(&listener, &spawner).await });
+        executor.spawn(async move {
+            future::or(upgrade.accept(&listener, &spawner), async { _ = left.recv().await }).await;
+        });
     }
 
     /// Meets all later processes, for as long as the program runs.
@@ -219,11 +227,24 @@
         executor.spawn(exchange);
     }
 
-    /// Whoever stands between this process and the latest one has ended: the latest one is met directly.
+    /// Whoever stands between this process and the latest one has ended: the latest one is met directly. Where that is the
+    /// one that has ended, this process is found at its place again.
     fn meet_again(self: &Rc<Upgrade>, executor: &Spawner) {
         let Some(dir) = self.dir.as_ref().filter(|_| self.is_superseded.get()) else { return };
-        if let Dialled::Met(stream) = self.dial(&dir.join(SOCKET)) {
-            self.begin_exchange(stream, false, executor);
+        let path = dir.join(SOCKET);
+        match self.dial(&path) {
+            Dialled::Met(stream) => self.begin_exchange(stream, false, executor),
+            Dialled::Nobody => {
+                self.is_superseded.set(false);
+                self.take_place(&path, executor);
+            }
+            Dialled::Shortage => {
+                let (upgrade, spawner) = (self.clone(), executor.clone());
+                executor.spawn(async move {
+                    world::after(SHORTAGE_WAIT).await;
+                    upgrade.meet_again(&spawner);
+                });
+            }
         }
     }
 
