--- a/tests/by_hand.rs
+++ b/tests/by_hand.rs
@@ -443,3 +443,20 @@
     order(&third, &replica, "down");
     first.logged("was left out by hand");
 }
+
+/// The folder was removed while the program ran, or could not be made at its start: it is made with the next order. One
+/// that is written and cannot be put in its place leaves nothing of it behind.
+#[test]
+fn an_order_makes_the_folder_again_and_one_that_fails_leaves_no_half_file() {
+    let (primary, replica) = (served("primary"), served("replica"));
+    let proxy = Proxy::with_console(&[&primary, &replica], 1024);
+    std::fs::remove_dir_all(proxy.directory.join("hosts")).expect("it is there");
+    order(&proxy, &replica, "down");
+    assert!(file_of(&proxy, &replica).is_file());
+    std::fs::create_dir(file_of(&proxy, &primary)).expect("nothing is there");
+    let who = format!(r#"{{"who":"{}"}}"#, name_of(&primary));
+    assert_eq!(proxy.call("POST", "/ops/database-hosts/down", &who).0, 500);
+    let names = std::fs::read_dir(proxy.directory.join("hosts")).expect("it is there");
+    let names: Vec<_> = names.map(|entry| entry.expect("an entry").file_name()).collect();
+    assert!(names.iter().all(|name| !name.to_string_lossy().starts_with('.')), "{names:?}");
+}
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -86,11 +86,20 @@
 /// So many routers, of which one gets several times the mean and most little, ask a group for so many times what it can
 /// do; all members but the primary, or so many of them, start anew.
 fn day(routers: u32, load: f64, anew: u32, seed: u64) -> Worst {
-    day_with_clocks(routers, load, anew, seed, 0)
+    day_with_clocks(routers, load, anew, seed, 0, Told::AsNews)
+}
+
+/// How routers hear of a start.
+#[derive(Clone, Copy, PartialEq)]
+enum Told {
+    /// A while after their first list.
+    AsNews,
+    /// By their first list: they have started just then, too.
+    ByTheFirstList,
 }
 
 /// The same, where the clock by which starts are told differs from the routers' by so much.
-fn day_with_clocks(routers: u32, load: f64, anew: u32, seed: u64, ahead: i64) -> Worst {
+fn day_with_clocks(routers: u32, load: f64, anew: u32, seed: u64, ahead: i64, by: Told) -> Worst {
     let mut lots = oorandom::Rand64::new(u128::from(seed) * 1_000 + u128::from(routers));
     let mut all: Vec<Router> = (0..routers)
         .map(|n| Router::new(Settings { ordinal: n, ..settings(routers) }, seed * 10_007 + u64::from(n)))
@@ -108,7 +117,7 @@
         primary: server == 1,
         started,
     };
-    let start = T0 + 2_000 * MS;
+    let start = if by == Told::AsNews { T0 + 2_000 * MS } else { T0 };
     let told_start = start.saturating_add_signed(ahead);
     let mut due: BTreeMap<(Micros, u64), (usize, Happens)> = BTreeMap::new();
     let mut number = 0;
@@ -124,9 +133,10 @@
         let at = T0 + gap(&mut lots, *part);
         put(&mut due, at, n, Happens::Arrives);
     }
-    let (mut ids, mut told) = (0, false);
+    let (mut ids, mut told) = (0, by == Told::ByTheFirstList);
     let mut out = Vec::new();
-    let known: Vec<Entry> = (1..=MEMBERS).map(|server| entry(server, 0)).collect();
+    let started = |server| if told && server + anew > MEMBERS { told_start } else { 0 };
+    let known: Vec<Entry> = (1..=MEMBERS).map(|server| entry(server, started(server))).collect();
     for router in &mut all {
         router.handle(T0, &[Event::List { kind: ListKind::Full, entries: known.clone().into() }], &mut out);
         out.clear();
@@ -243,10 +253,25 @@
     for ahead_ms in [-3_600_000, -5_000, 2, 5_000, 3_600_000] {
         for (routers, load, anew) in [(1, 1.0, 1), (3, 1.5, 2), (30, 1.5, 1)] {
             let seed = u64::from(routers) + 40;
-            let worst = day_with_clocks(routers, load, anew, seed, ahead_ms * MS as i64);
+            let worst = day_with_clocks(routers, load, anew, seed, ahead_ms * MS as i64, Told::AsNews);
             let told = format!("seed {seed}: {routers} routers, {ahead_ms} ms ahead, {anew} anew: {worst:?}");
             assert!(worst.sent as f64 <= worst.budget, "{told}");
             assert!(worst.cold * 100 > worst.all, "{told}");
         }
     }
 }
+
+/// A router's wall clock is off as it starts, and its first list holds servers that have started just before: by a clock
+/// ahead of theirs they count as warm for long. Nothing in the list tells such a start from an old one.
+#[test]
+fn a_server_that_started_just_before_a_router_with_a_clock_ahead_is_cold() {
+    for ahead_ms in [-3_600_000, -60_000, 0, 3_600_000] {
+        for (routers, load, anew) in [(1, 1.0, 1), (3, 1.5, 2), (30, 1.5, 1)] {
+            let seed = u64::from(routers) + 60;
+            let by = Told::ByTheFirstList;
+            let worst = day_with_clocks(routers, load, anew, seed, ahead_ms * MS as i64, by);
+            let told = format!("seed {seed}: {routers} routers, {ahead_ms} ms ahead, {anew} anew: {worst:?}");
+            assert!(worst.sent as f64 <= worst.budget, "{told}");
+        }
+    }
+}
