Name units in constants, and let the interface of the module no longer import the invariants

Constants of bytes, counts and float spans say their unit in the name; until when an effect may be repeated is decided where the other rules are (src/invariants.rs), so src/api.rs and src/invariants.rs no longer import one another. A second SIGTERM has a mutant for the soak.

--- a/src/api.rs
+++ b/src/api.rs
@@ -3,7 +3,6 @@
 //! Times are microseconds on the router's clock; positions are such times too: a replica at
 //! position `p` has applied every commit up to `p`.
 
-use crate::invariants;
 use std::sync::Arc;
 
 /// A time or a span on the router's clock, in microseconds.
@@ -52,30 +51,6 @@
     Unsafe,
 }
 
-impl Effect {
-    /// Until when a request may be sent once more, as its first send that may have run tells; `plain` ones bring no key.
-    pub fn repeatable_until(&self, first: Option<Micros>, plain: bool) -> Micros {
-        match (*self, first) {
-            (_, None) | (Effect::Safe, _) => Micros::MAX,
-            // A zone need not be that of the next server, and without a key nobody drops a repeat.
-            (Effect::Unsafe | Effect::Keyed(DedupScope::Zone, _), _) => 0,
-            (Effect::Keyed(..), _) if plain => 0,
-            (Effect::Keyed(_, window), Some(first)) => invariants::repeatable_until(first, window),
-        }
-    }
-
-    /// When servers forget a request, as its first send that may have run tells: 0 where a repeat is recognised nowhere.
-    pub fn forgotten_at(&self, first: Option<Micros>, plain: bool) -> Micros {
-        match (*self, first) {
-            (_, None) | (Effect::Safe, _) => Micros::MAX,
-            (Effect::Keyed(DedupScope::All | DedupScope::Group, window), Some(first)) if !plain => {
-                first + window
-            }
-            (Effect::Unsafe | Effect::Keyed(..), _) => 0,
-        }
-    }
-}
-
 /// One class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -13,7 +13,7 @@
 use std::process::ExitCode;
 
 /// The longest line that `explain` takes, in bytes.
-const MOST_LINE: u64 = 8 << 20;
+const MAX_LINE_BYTES: u64 = 8 << 20;
 
 /// A proxy for replicated databases that speak the PostgreSQL protocol.
 #[derive(Parser)]
@@ -214,10 +214,10 @@
             let mut text = Vec::new();
             match &self.statement {
                 Some(statement) => text.extend_from_slice(statement.as_bytes()),
-                None => drop(io::stdin().lock().take(MOST_LINE + 1).read_to_end(&mut text)?),
+                None => drop(io::stdin().lock().take(MAX_LINE_BYTES + 1).read_to_end(&mut text)?),
             }
-            if text.len() as u64 > MOST_LINE {
-                return Err(io::Error::other(format!("a statement of over {MOST_LINE} bytes")));
+            if text.len() as u64 > MAX_LINE_BYTES {
+                return Err(io::Error::other(format!("a statement of over {MAX_LINE_BYTES} bytes")));
             }
             self.one(desk, &text, out)?;
             out.flush()?;
@@ -234,10 +234,10 @@
         let (mut bad, mut line) = (0, Vec::new());
         for number in 1.. {
             line.clear();
-            if (&mut input).take(MOST_LINE).read_until(b'\n', &mut line)? == 0 {
+            if (&mut input).take(MAX_LINE_BYTES).read_until(b'\n', &mut line)? == 0 {
                 break;
             }
-            let long = line.len() as u64 >= MOST_LINE && !line.ends_with(b"\n");
+            let long = line.len() as u64 >= MAX_LINE_BYTES && !line.ends_with(b"\n");
             if long {
                 // The rest of it is no line of its own.
                 while !input.fill_buf()?.is_empty() {
@@ -257,7 +257,7 @@
                 continue;
             }
             let parsed = match serde_json::from_slice::<Line>(text) {
-                _ if long => Err(format!("over {MOST_LINE} bytes")),
+                _ if long => Err(format!("over {MAX_LINE_BYTES} bytes")),
                 Ok(parsed) => Ok(parsed),
                 Err(e) => Err(e.to_string()),
             };
--- a/src/invariants.rs
+++ b/src/invariants.rs
@@ -3,7 +3,7 @@
 //! afterwards, from facts taken anew, whether it was done all the same (`Violation`). Pure: spans and flags in, a verdict
 //! out. It must never choose a host, read a clock or keep anything of a request.
 
-use crate::api::{Effect, Micros};
+use crate::api::{DedupScope, Effect, Micros};
 use crate::mutants;
 use serde::Serialize;
 
@@ -31,6 +31,30 @@
     first + window.saturating_sub(drift + HOLD_UP + WAY)
 }
 
+impl Effect {
+    /// Until when a request may be sent once more, as its first send that may have run tells; `plain` ones bring no key.
+    pub fn repeatable_until(&self, first: Option<Micros>, plain: bool) -> Micros {
+        match (*self, first) {
+            (_, None) | (Effect::Safe, _) => Micros::MAX,
+            // A zone need not be that of the next server, and without a key nobody drops a repeat.
+            (Effect::Unsafe | Effect::Keyed(DedupScope::Zone, _), _) => 0,
+            (Effect::Keyed(..), _) if plain => 0,
+            (Effect::Keyed(_, window), Some(first)) => repeatable_until(first, window),
+        }
+    }
+
+    /// When servers forget a request, as its first send that may have run tells: 0 where a repeat is recognised nowhere.
+    pub fn forgotten_at(&self, first: Option<Micros>, plain: bool) -> Micros {
+        match (*self, first) {
+            (_, None) | (Effect::Safe, _) => Micros::MAX,
+            (Effect::Keyed(DedupScope::All | DedupScope::Group, window), Some(first)) if !plain => {
+                first + window
+            }
+            (Effect::Unsafe | Effect::Keyed(..), _) => 0,
+        }
+    }
+}
+
 /// When a stop cuts off what is still open, counted from SIGTERM: late enough for whoever came before clients turned
 /// away, early enough that a hold-up as the signal comes and another as the answers go end before SIGKILL.
 pub fn cut_off_after(linger: Micros, longest_wait: Micros) -> Micros {
@@ -169,7 +193,7 @@
 
 /// Whether a request may be refused: whether its client may be told that a further try is harmless.
 pub fn may_refuse(effect: Effect, may_have_run: bool, plain: bool) -> bool {
-    let recognised = matches!(effect, Effect::Keyed(crate::api::DedupScope::All, _)) && !plain;
+    let recognised = matches!(effect, Effect::Keyed(DedupScope::All, _)) && !plain;
     !may_have_run || effect == Effect::Safe || recognised
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,7 +45,7 @@
 /// Time-driven decisions are looked at this often.
 const TICK: Micros = 10_000;
 /// Latency of a replica when nobody in its group has a sample.
-const L_DEFAULT: f64 = 10_000.0;
+const DEFAULT_LATENCY_US: f64 = 10_000.0;
 /// The primary competes for reads that replicas can serve at this multiple of its score.
 const PRIMARY_HANDICAP: f64 = 2.0;
 /// A replica in another zone competes at this multiple of its score, where crossings cost.
@@ -59,7 +59,7 @@
 /// An error share of one multiplies a replica's score by this + 1; the share halves in so long, so that it
 /// is tried again. What one error adds: few servers fail now and then, those that do fail most.
 const ERROR_POINTS: f64 = 10.0;
-const ERROR_HALF: f64 = 4_000_000.0;
+const ERROR_HALF_LIFE_US: f64 = 4_000_000.0;
 const ERROR_ADDS: f64 = 0.3;
 /// First ejection, and first wait after a failed subscription; doubled with each repeat, so often at most.
 const BACKOFF: Micros = 500_000;
@@ -86,9 +86,9 @@
 const JAM_GAIN: f64 = 5.0;
 const JAM_MOST: f64 = 0.7;
 const JAM_SLOW: f64 = 0.2;
-const JAM_HALF: f64 = 1_000_000.0;
+const JAM_HALF_LIFE_US: f64 = 1_000_000.0;
 const JAM_FEW: f64 = 4.0;
-const GROUP_HALF: f64 = 15_000_000.0;
+const GROUP_HALF_LIFE_US: f64 = 15_000_000.0;
 const GROUP_FEW: f64 = 0.25;
 const GROUP_AS_ALL: f64 = 2.0;
 const CUT_GAP: Micros = 200_000;
--- a/src/logic/evidence.rs
+++ b/src/logic/evidence.rs
@@ -42,8 +42,8 @@
         let read = told && self.set.classes[class].need != Need::Write;
         if let Some(g) = self.groups.get_mut(&self.servers[i].group).filter(|_| read) {
             let slow = value > self.set.classes[class].aim as f64 * LATE_AT;
-            self.seen.jam.add(self.now, JAM_HALF, outcome, slow);
-            g.jam.add(self.now, GROUP_HALF, outcome, slow);
+            self.seen.jam.add(self.now, JAM_HALF_LIFE_US, outcome, slow);
+            g.jam.add(self.now, GROUP_HALF_LIFE_US, outcome, slow);
         }
         let s = &mut self.servers[i];
         let lost = outcome == Outcome::ConnectFailed && s.lost(latency >= REFUSED);
@@ -71,7 +71,7 @@
                 }
             }
             Outcome::Error | Outcome::Reset => {
-                s.error_share = averaged(s.errors(self.now, ERROR_HALF), 1.0, 1.0 - ERROR_ADDS);
+                s.error_share = averaged(s.errors(self.now, ERROR_HALF_LIFE_US), 1.0, 1.0 - ERROR_ADDS);
                 (s.error_at, s.proven) = (self.now, false);
             }
             Outcome::ConnectFailed if lost && s.ejected_until <= self.now => {
--- a/src/logic/overload.rs
+++ b/src/logic/overload.rs
@@ -13,8 +13,9 @@
         let Some(g) = self.groups.get(&group).filter(|_| read) else { return 0.0 };
         // A read of any data is not turned away for its age: that counts only beside want of room.
         let bad = |t: Tally| t.late + if c.need == Need::Any { t.missed.min(t.late) } else { t.missed };
-        let (all, here) = (self.seen.jam.at(self.now, JAM_HALF), g.jam.at(self.now, GROUP_HALF));
-        let groups = self.groups.values().map(|g| g.jam.at(self.now, GROUP_HALF));
+        let (all, here) =
+            (self.seen.jam.at(self.now, JAM_HALF_LIFE_US), g.jam.at(self.now, GROUP_HALF_LIFE_US));
+        let groups = self.groups.values().map(|g| g.jam.at(self.now, GROUP_HALF_LIFE_US));
         let (usual, apart) = spread(groups.map(|t| (bad(t), t.of)).collect(), JAM_FEW);
         let alike = (2.0 - apart).clamp(0.0, 1.0);
         let part = (bad(here) - 1.0 + alike + GROUP_AS_ALL * alike)
--- a/src/logic/routing.rs
+++ b/src/logic/routing.rs
@@ -16,7 +16,7 @@
         // One sample says little: a host passes for fast or slow only as far as this router has seen it so.
         let (blur, usual) = (self.blur(), (self.seen.mean, LEAN * self.blur()));
         let lowest = group.members.iter().filter_map(|&i| self.servers[i].weighed(usual));
-        let lowest = lowest.min_by(f64::total_cmp).unwrap_or(L_DEFAULT);
+        let lowest = lowest.min_by(f64::total_cmp).unwrap_or(DEFAULT_LATENCY_US);
         let long = need == Need::Any && self.is_long(r.class);
         let short = need == Need::Any && group.short_at + SHORT_FOR > self.now && !r.plain;
         let mut rank = 0;
@@ -29,7 +29,7 @@
             }
             let behind = self.now.saturating_sub(self.reached(i, false));
             let latency = s.weighed(usual).unwrap_or(lowest).max(s.pending);
-            let errors = s.errors(self.now, ERROR_HALF);
+            let errors = s.errors(self.now, ERROR_HALF_LIFE_US);
             let mut points = score(latency, s.q, s.wait) * (1.0 + ERROR_POINTS * errors);
             points *= if self.set.crossings_cost && s.zone != self.set.zone { ABROAD } else { 1.0 };
             // Where each router tries each server, that is hundreds of handshakes for each, and as many
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -23,8 +23,8 @@
 /// An answer has to be taken within this.
 const TAKEN: Duration = Duration::from_secs(1);
 /// The longest head and body of a call, and the most headers.
-const MOST_HEAD: usize = 8 * 1024;
-const MOST_BODY: usize = 4 * 1024;
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+const MAX_BODY_BYTES: usize = 4 * 1024;
 const MOST_HEADERS: usize = 64;
 /// The wait after a failed accept.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
@@ -219,9 +219,9 @@
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     let len = match head.parse(bytes).map_err(|e| no(400, format!("the head: {e}")))? {
-        httparse::Status::Complete(len) if len <= MOST_HEAD => len,
-        httparse::Status::Partial if bytes.len() <= MOST_HEAD => return Ok(None),
-        _ => return Err(no(431, format!("a head of over {MOST_HEAD} bytes"))),
+        httparse::Status::Complete(len) if len <= MAX_HEAD_BYTES => len,
+        httparse::Status::Partial if bytes.len() <= MAX_HEAD_BYTES => return Ok(None),
+        _ => return Err(no(431, format!("a head of over {MAX_HEAD_BYTES} bytes"))),
     };
     let mut length = 0;
     for h in head.headers.iter() {
@@ -233,8 +233,8 @@
             length = value.ok_or_else(|| no(400, "the content-length is no number"))?;
         }
     }
-    if length > MOST_BODY {
-        return Err(no(413, format!("a body of over {MOST_BODY} bytes")));
+    if length > MAX_BODY_BYTES {
+        return Err(no(413, format!("a body of over {MAX_BODY_BYTES} bytes")));
     }
     let Some(body) = bytes.get(len..len + length) else { return Ok(None) };
     let text = |t: Option<&str>| t.unwrap_or("").to_string();
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -33,7 +33,7 @@
 const AFTERMATH: Duration = Duration::from_millis(100);
 /// So much of the answer to a plain statement is held: what fits is passed on whole, and may still be asked for
 /// elsewhere if it breaks off.
-const PLAIN_WHOLE: usize = 64 * 1024;
+const MAX_PLAIN_ANSWER_BYTES: usize = 64 * 1024;
 /// A dial that got no answer for this long tells that its host is out of reach, whatever time-out dials have: a
 /// handshake takes some round trips, and reads that end before half of a long time-out would never find out.
 const TELLS: Duration = Duration::from_millis(100);
@@ -214,7 +214,7 @@
 
     /// Appends what has come since; false at the end of the answer, an error where it breaks off.
     pub async fn piece(&mut self, out: &mut Vec<u8>) -> io::Result<bool> {
-        let step = by(world::now() + STALLED, self.step(out, PLAIN_WHOLE)).await;
+        let step = by(world::now() + STALLED, self.step(out, MAX_PLAIN_ANSWER_BYTES)).await;
         match step.unwrap_or(Err(Broken::Ended)) {
             Ok(Step::On) => Ok(true),
             Ok(Step::Ready) => Ok(false),
@@ -398,8 +398,8 @@
         let mut held = Vec::new();
         let whole = async {
             loop {
-                match answer.step(&mut held, PLAIN_WHOLE).await {
-                    Ok(Step::On) if held.len() < PLAIN_WHOLE => {}
+                match answer.step(&mut held, MAX_PLAIN_ANSWER_BYTES).await {
+                    Ok(Step::On) if held.len() < MAX_PLAIN_ANSWER_BYTES => {}
                     other => return other,
                 }
             }
@@ -426,7 +426,7 @@
                 // The session goes on behind its error, if it says so soon.
                 let ready = async {
                     loop {
-                        match answer.step(&mut held, PLAIN_WHOLE).await {
+                        match answer.step(&mut held, MAX_PLAIN_ANSWER_BYTES).await {
                             Ok(Step::On) => {}
                             other => return matches!(other, Ok(Step::Ready)),
                         }
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -29,9 +29,9 @@
 const FAREWELL: Duration = Duration::from_millis(200);
 const LONGEST_FAREWELL: Duration = Duration::from_secs(3);
 /// What a client may have sent behind a request that is open.
-const MOST_AHEAD: usize = 1 << 20;
+const MAX_READ_AHEAD_BYTES: usize = 1 << 20;
 /// The most arrivals that are told apart of what is read ahead; those beyond count as the last of them.
-const MOST_ARRIVALS: usize = 64;
+const MAX_ARRIVALS: usize = 64;
 /// Where nothing is read, the machine is asked this often whether the client has left.
 const LOOK: Duration = Duration::from_millis(50);
 /// A connection that never asked anything is given this long when all are closed: what the client
@@ -351,7 +351,7 @@
     }
 
     /// Returns once nothing more is to be begun for the request that is open. Where it `reads`, what the client sends
-    /// meanwhile is kept, up to `MOST_AHEAD` and what all may have sent; beyond that it is passed over, and the session ends
+    /// meanwhile is kept, up to `MAX_READ_AHEAD_BYTES` and what all may have sent; beyond that it is passed over, and the session ends
     /// behind the answer: a client's end shows only to whoever reads up to it.
     pub async fn abandoned(&mut self, reads: bool) -> Abandoned {
         if !reads {
@@ -396,7 +396,7 @@
         if mutants::on("departures are not seen") {
             return future::pending().await;
         }
-        let too_much = self.inbox.len() > MOST_AHEAD || !self.affordable();
+        let too_much = self.inbox.len() > MAX_READ_AHEAD_BYTES || !self.affordable();
         if too_much && ahead == Ahead::Bounded && !self.overrun {
             self.hung_up().await;
             return false;
@@ -421,7 +421,7 @@
             self.arrivals.push_back(Arrival { upto: self.received, at: self.heard });
         }
         self.received += count as u64;
-        let many = self.arrivals.len() >= MOST_ARRIVALS;
+        let many = self.arrivals.len() >= MAX_ARRIVALS;
         match self.arrivals.back_mut() {
             Some(last) if many => last.upto = self.received,
             _ => self.arrivals.push_back(Arrival { upto: self.received, at: world::now() }),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -45,7 +45,7 @@
 use world::Stream;
 
 /// Complaints about peers that are written in a second; of the others only the number is.
-const COMPLAINTS: u32 = 10;
+const MAX_COMPLAINTS_PER_SECOND: u32 = 10;
 
 thread_local! {
     /// Since when complaints are counted, and how many there were.
@@ -111,11 +111,11 @@
 pub fn complain(line: impl FnOnce() -> String) {
     let (since, count) = COMPLAINED.get();
     let fresh = since.is_none_or(|since| world::since(since) > Duration::from_secs(1));
-    if fresh && count > COMPLAINTS {
-        warn!(target: "peers", "... and {} more such lines", count - COMPLAINTS);
+    if fresh && count > MAX_COMPLAINTS_PER_SECOND {
+        warn!(target: "peers", "... and {} more such lines", count - MAX_COMPLAINTS_PER_SECOND);
     }
     let (since, count) = if fresh { (Some(world::now()), 0) } else { (since, count) };
-    if count < COMPLAINTS {
+    if count < MAX_COMPLAINTS_PER_SECOND {
         warn!(target: "peers", "{}", line());
     }
     COMPLAINED.set((since, count + 1));
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -2,6 +2,7 @@
 //! owns what each one means. It must never read a file, nor end anything itself.
 
 use super::complain;
+use crate::mutants;
 use async_channel::Sender;
 use async_signal::Signal;
 use futures_lite::{Stream, StreamExt, future};
@@ -15,7 +16,12 @@
         match signal {
             Ok(Signal::Hup) => reload(),
             // A second one changes nothing.
-            Ok(Signal::Term | Signal::Int) => drop(stop.try_send(())),
+            Ok(Signal::Term | Signal::Int) => {
+                let is_second = stop.try_send(()).is_err();
+                if is_second && mutants::on("a second signal is deadly") {
+                    panic!("a second signal");
+                }
+            }
             Ok(_) => {}
             Err(e) => {
                 complain(|| format!("signals: {e}"));
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -42,7 +42,7 @@
 /// The wait before another process is accepted, or dialled, again where the machine lacks something.
 const SHORTAGE_WAIT: Duration = Duration::from_millis(20);
 /// How often it is dialled then.
-const DIALS: u32 = 100;
+const MAX_DIALS: u32 = 100;
 
 /// What processes tell each other, as a line. Later versions may add keys.
 #[derive(Serialize)]
@@ -163,7 +163,7 @@
 
     /// Goes on to dial the process that may be there; then takes its place, whatever came of it.
     async fn meet_later(self: Rc<Upgrade>, number: u64, path: &Path, executor: &Spawner) {
-        for _ in 0..DIALS {
+        for _ in 0..MAX_DIALS {
             world::after(SHORTAGE_WAIT).await;
             match self.dial(path) {
                 Dialled::Met(stream) => {
