--- a/crates/lab/src/soak/book.rs
+++ b/crates/lab/src/soak/book.rs
@@ -46,7 +46,7 @@
 pub fn classes(seed: u64) -> [Class; 4] {
     let mut classes = CLASSES;
     if seed.is_multiple_of(3) {
-        classes[1].patience = Duration::from_millis(3_300);
+        classes[1].patience = Duration::from_secs(5);
     }
     classes
 }
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -120,10 +120,16 @@
         (host.process, host.started_ms) = (host.process + 1, unix_ms());
     }
 
+    /// The members of a host's group.
+    pub fn group_of(&self, host: usize) -> std::ops::Range<usize> {
+        let first = host / self.members * self.members;
+        first..first + self.members
+    }
+
     /// The primary of a group gives its role up, and another member has it after a while.
     pub async fn hand_over(&self, host: usize, after: Duration) {
-        let first = host / self.members * self.members;
-        let members = first..first + self.members;
+        let members = self.group_of(host);
+        let first = members.start;
         let present = self.hosts.borrow()[members.clone()].iter().position(|h| h.primary);
         let Some(present) = present else { return };
         self.hosts.borrow_mut()[first + present].primary = false;
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -33,7 +33,7 @@
 const CLIENTS: usize = 3;
 /// For how long requests are made, and answers waited for behind that.
 const ASKING: Duration = Duration::from_secs(9);
-const RESTING: Duration = Duration::from_secs(6);
+const RESTING: Duration = Duration::from_secs(7);
 /// A process serves by then.
 const READY: Duration = Duration::from_secs(10);
 /// This loop looks at itself this often, to know by how much the machine held it up.
@@ -174,9 +174,10 @@
             What::Restart { proxy, signals, is_crowded, hangs } => {
                 let slot = slot_of(proxy);
                 self.spawn(async move {
-                    hangs.iter().for_each(|host| hosts.set_mode(*host, Mode::Hangs));
+                    let group = hangs.map_or(0..0, |host| hosts.group_of(host));
+                    group.clone().for_each(|host| hosts.set_mode(host, Mode::Hangs));
                     slot.restart(signals, is_crowded, &book).await;
-                    hangs.iter().for_each(|host| hosts.set_mode(*host, Mode::Well));
+                    group.for_each(|host| hosts.set_mode(host, Mode::Well));
                 });
             }
             What::UpgradeTwice(n) => {
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -30,7 +30,7 @@
         signals: Vec<(Duration, Signal)>,
         /// A crowd takes its places first.
         is_crowded: bool,
-        /// A host that hangs through the whole stop.
+        /// A host that hangs through the whole stop, with all of its group.
         hangs: Option<usize>,
     },
     /// Two more processes are started beside one, and the older ones told to end.
@@ -107,7 +107,7 @@
         match self {
             What::Kill(_) => "kill",
             What::Restart { is_crowded: true, .. } => "restart in a crowd",
-            What::Restart { hangs: Some(_), .. } => "restart beside a hanging host",
+            What::Restart { hangs: Some(_), .. } => "restart beside a hanging group",
             What::Restart { signals, .. } if !signals.is_empty() => "restart with signals in series",
             What::Restart { .. } => "restart",
             What::UpgradeTwice(_) => "upgrade twice",
