Take no old file for news because it could be read only late

Symptom: a host that was used again at one process would be left out again at another, by nobody's order. Found on reading the change again.

Cause: a file of an earlier version has no stamp that can be compared, and counts above what is known where it comes as news. A look at the folder counted as whole though a file in it could not be read, so that file, read later, was taken for news.

Mend: what was unreadable before is judged by its time. It holds since such a file was there at the first look, and one that is written while the program runs is found absent or with another text before.

--- a/src/orders.rs
+++ b/src/orders.rs
@@ -248,8 +248,8 @@
     /// The file of a host says this.
     pub fn find(&mut self, host: &str, text: &str, now: Micros) -> Finding {
         let entry = self.entries.get(host);
-        let had_text = matches!(entry.map(|e| &e.file), Some(FileState::Text(_)));
-        if entry.is_some_and(|e| matches!(&e.file, FileState::Text(known) if known == text)) {
+        let file = entry.map_or(FileState::Absent, |e| e.file.clone());
+        if matches!(&file, FileState::Text(known) if known == text) {
             return Finding::Nothing;
         }
         let known = self.order(host);
@@ -257,7 +257,12 @@
             self.file_is(host, FileState::Text(text.to_string()));
             return Finding::NoOrder;
         };
-        let is_news = had_text || self.has_read_folder;
+        let is_news = match file {
+            FileState::Text(_) => true,
+            FileState::Absent => self.has_read_folder,
+            // It was there before: when it was written is not known.
+            FileState::Unreadable => false,
+        };
         let is_ahead = stored.order.stamp > now.saturating_add(MAX_STAMP_AHEAD);
         let order = match stored {
             StoredOrder { order, comparable: true } if !is_ahead => order,
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -2,7 +2,7 @@
 
 use oorandom::Rand64;
 use sillfold::orders::{
-    Finding, MAX_STAMP_AHEAD, Order, OrderBook, Rejection, StoredOrder, ToldOrder, WARM_AFTER,
+    FileState, Finding, MAX_STAMP_AHEAD, Order, OrderBook, Rejection, StoredOrder, ToldOrder, WARM_AFTER,
 };
 use std::collections::BTreeSet;
 
@@ -77,3 +77,15 @@
     book.folder_is_read(&BTreeSet::new());
     assert_eq!((book.unsaved(NOW).len(), book.unsaved(NOW + 9 + WARM_AFTER).len()), (1, 0));
 }
+
+/// An earlier version left a file that could not be read when this process started. Meanwhile the process beside told that the
+/// host is used again: the old text is no news once it can be read, or the host would be left out again by nobody's order.
+#[test]
+fn a_file_of_an_earlier_version_that_can_be_read_late_is_no_news() {
+    let mut book = OrderBook::default();
+    book.file_is("h", FileState::Unreadable);
+    book.folder_is_read(&BTreeSet::from(["h".into()]));
+    assert_eq!(book.hear(&told(false, NOW), NOW), Ok(true));
+    assert_eq!(book.find("h", &format!("down {}", NOW - HOUR), NOW), Finding::Nothing);
+    assert_eq!(book.order("h"), Some(Order { out: false, stamp: NOW }));
+}
