--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -3,6 +3,7 @@
 //! `slow-readers` are the cases 1 to 3; the other scenes are faults that REPORT.md lists beside them.
 
 mod altered_statement;
+mod drain_busy;
 mod left_behind;
 mod long_pipeline;
 mod plain_write;
@@ -65,6 +66,7 @@
         "switched-on" => switched_on::run(&run),
         "left-behind" => left_behind::run(&run),
         "write-order" => write_order::run(&run),
+        "drain-busy" => drain_busy::run(&run),
         "plain-write" => plain_write::run(&run),
         "slow-readers" => slow_readers::run(&run, slow_readers::MEMORY),
         "bystanders" => slow_readers::run(&run, slow_readers::BYSTANDERS),
--- a/review/stand/src/stand.rs
+++ b/review/stand/src/stand.rs
@@ -187,6 +187,8 @@
 /// The running proxy, started as the platform starts it; ended when this is dropped.
 pub struct Proxy {
     pub address: SocketAddr,
+    /// Where operators call.
+    pub console: SocketAddr,
     child: Child,
     folder: PathBuf,
     record: Record,
@@ -254,7 +256,7 @@
         let folder = std::env::temp_dir().join(name);
         let state = folder.join("state");
         fs::create_dir_all(&state)?;
-        let address = free_address()?;
+        let (address, console) = (free_address()?, free_address()?);
         let mut config = String::new();
         let _ = write!(
             config,
@@ -270,7 +272,7 @@
         command.arg("-c").arg(run).current_dir(&root);
         command.env("LB_NAME", "n0").env("LB_LISTEN", address.to_string());
         command.env("LB_DISCOVERY", agent.to_string()).env("LB_CONFIG", &config_path);
-        command.env("TMPDIR", &state).env_remove("SILLFOLD_FILE").env_remove("LB_CONSOLE");
+        command.env("TMPDIR", &state).env_remove("SILLFOLD_FILE").env("LB_CONSOLE", console.to_string());
         if let Some(text) = start.operator_file {
             let path = folder.join("operator.json5");
             fs::write(&path, text)?;
@@ -282,7 +284,7 @@
             "platform: starts {run:?}, listen {address}, {} MB, {} descriptors",
             start.memory_mb, start.sockets
         ));
-        let mut proxy = Proxy { address, child: command.spawn()?, folder, record: record.clone() };
+        let mut proxy = Proxy { address, console, child: command.spawn()?, folder, record: record.clone() };
         proxy.end_in_time();
         let until = Instant::now() + Duration::from_secs(15);
         loop {
@@ -332,6 +334,16 @@
         Ok(stream)
     }
 
+    /// An operator's call without a body; the first line of its answer.
+    pub fn call(&self, method: &str, path: &str) -> io::Result<String> {
+        let mut stream = TcpStream::connect(self.console)?;
+        stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: console\r\nContent-Length: 0\r\n\r\n")?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line)?;
+        Ok(line.trim().to_string())
+    }
+
     /// The operator writes a new file, and sends SIGHUP to the process.
     pub fn replace_operator_file(&self, text: &str) -> io::Result<()> {
         let (path, next) = (self.folder.join("operator.json5"), self.folder.join("operator.next"));
