--- a/review/stand/src/left_behind.rs
+++ b/review/stand/src/left_behind.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// Clients that leave, one after the other.
-const LEAVERS: usize = 8;
+const LEAVERS: usize = 12;
 /// The reads that each of them sends, between another read and a write.
 const READS: usize = 14;
 /// The length of each value; the protocol has 64 KiB at most.
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -4,8 +4,10 @@
 
 mod altered_statement;
 mod drain_busy;
+mod gone_unseen;
 mod left_behind;
 mod long_pipeline;
+mod plain_broken;
 mod plain_write;
 mod slow_readers;
 mod stand;
@@ -67,6 +69,8 @@
         "left-behind" => left_behind::run(&run),
         "write-order" => write_order::run(&run),
         "drain-busy" => drain_busy::run(&run),
+        "plain-broken" => plain_broken::run(&run),
+        "gone-unseen" => gone_unseen::run(&run),
         "plain-write" => plain_write::run(&run),
         "slow-readers" => slow_readers::run(&run, slow_readers::MEMORY),
         "bystanders" => slow_readers::run(&run, slow_readers::BYSTANDERS),
--- a/review/stand/src/stand.rs
+++ b/review/stand/src/stand.rs
@@ -105,6 +105,8 @@
     Error(&'static str),
     /// Ends the connection without an answer.
     Reset,
+    /// Answers with a row of this value, and ends the connection behind this many bytes of the answer.
+    Broken(Vec<u8>, usize),
 }
 
 /// Starts a database host. `run` gets each statement that is no probe, once its last byte has come, and may take its time.
@@ -168,6 +170,10 @@
                     out.extend(wire::error(code, "not here"));
                     out.extend(wire::parameter("server_role", if primary { "writer" } else { "reader" }));
                 }
+                Act::Broken(value, bytes) => {
+                    stream.write_all(&wire::row(&value, "SELECT 1")[..bytes])?;
+                    return stream.shutdown(Shutdown::Both);
+                }
                 Act::Reset => return stream.shutdown(Shutdown::Both),
             }
         }
