--- a/review/stand/src/slow_readers.rs
+++ b/review/stand/src/slow_readers.rs
@@ -10,7 +10,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const MEMORY_MB: usize = 192;
 const SOCKETS: usize = 1024;
 /// The writes that a client sends at once that comes later and reads at full speed.
 const WRITES: usize = 4;
@@ -20,6 +19,8 @@
 /// How many clients come, under a third of the descriptors.
 #[derive(Clone, Copy)]
 pub struct Load {
+    /// The limit of the configuration.
+    memory_mb: usize,
     pub clients: usize,
     /// The commands that each client sends at once.
     pub commands: usize,
@@ -32,6 +33,7 @@
 }
 /// 100 requests in 320 ms are 312 a second.
 pub const BYSTANDERS: Load = Load {
+    memory_mb: 192,
     clients: 45,
     commands: 100,
     interval: Duration::from_millis(320),
@@ -40,6 +42,7 @@
 };
 /// 45 requests in 150 ms are 300 a second.
 pub const MEMORY: Load = Load {
+    memory_mb: 96,
     clients: 240,
     commands: 45,
     interval: Duration::from_millis(150),
@@ -96,7 +99,7 @@
     let known = list(&hosts);
     let agent = start_agent(known.clone())?;
     let settings = settings("dedup");
-    let start = Start { known, settings, memory_mb: MEMORY_MB, sockets: SOCKETS, operator_file: None };
+    let start = Start { known, settings, memory_mb: load.memory_mb, sockets: SOCKETS, operator_file: None };
     let mut proxy = Proxy::start(&run.folder, record, agent, start)?;
     let address = proxy.address;
 
@@ -205,9 +208,10 @@
                 next_line += Duration::from_millis(500);
                 record.line(format!("platform: the proxy holds {memory_kib} KiB"));
             }
-            if memory_kib > MEMORY_MB as u64 * 1024 {
+            if memory_kib > load.memory_mb as u64 * 1024 {
                 record.line(format!(
-                    "platform: the proxy holds {memory_kib} KiB, over {MEMORY_MB} MB, and is killed"
+                    "platform: the proxy holds {memory_kib} KiB, over {} MB, and is killed",
+                    load.memory_mb
                 ));
                 proxy.kill();
                 killed = true;
@@ -247,7 +251,7 @@
     if killed {
         return Ok(Verdict::Broken(format!(
             "the proxy held {peak_kib} KiB of {} and was killed; {} requests were lost",
-            MEMORY_MB * 1024,
+            load.memory_mb * 1024,
             count(&lost)
         )));
     }
