--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -815,15 +815,16 @@
 
     /// Checks that an idle proxy holds nothing but idle connections. The error says what it holds.
     fn check_released(&self, running: &RunningProxy) -> Result<(), String> {
-        let (clients, bytes) = running.clients.admission.usage();
+        let clients = running.clients.admission.usage();
+        let bytes = clients.received_bytes + clients.answer_bytes;
         let figures = serde_json::to_value(running.core.figures()).unwrap_or_default();
         let in_flight = figures["inflight"].as_u64().unwrap_or(u64::MAX);
         let machine = self.processes[running.process].machine;
         let (open, hosts) = (self.world.open_descriptors(machine), running.hosts.open_connections());
-        let counted = clients + hosts;
+        let counted = clients.connections + hosts;
         match () {
             () if in_flight > 0 => Err(format!("{in_flight} requests are still open")),
-            () if bytes > 0 => Err(format!("{bytes} bytes of clients are still counted")),
+            () if bytes > 0 => Err(format!("{bytes} bytes of clients are still reserved")),
             // A connect attempt is counted before its descriptor is open.
             () if counted > open + 2 => Err(format!("{counted} descriptors are counted, {open} are open")),
             // Besides the counted ones: a watch of discovery, the connections between versions, and the peer socket.
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,6 +7,7 @@
 //! over the variable, since the environment of a running process cannot change. All other keys take effect at the next
 //! start.
 
+use crate::memory::{MemoryPlan, ProcessLimits};
 use crate::net::core::fnv1a;
 use crate::net::endpoints::{CONSOLE_CONNECTIONS, PeerEndpoints};
 use crate::net::listing::Listing;
@@ -26,8 +27,6 @@
 const DEFAULT_MEMORY_MB: usize = 192;
 /// The minimum of `limits.memory_mb`: with less memory the program cannot work.
 const MIN_MEMORY_MB: usize = 16;
-/// Unanswered bytes of clients may take a quarter of `limits.memory_mb`.
-const CLIENT_BYTES_DIVISOR: usize = 4;
 /// The default of `linger_ms`. Clients still connect up to 0.4 s after SIGTERM; this is a little longer.
 const DEFAULT_LINGER_MS: u64 = 500;
 /// The maximum of `linger_ms`, so that a stop ends in a bounded time.
@@ -57,8 +56,8 @@
     pub program_settings: ProgramSettings,
     /// The limit of open client connections.
     pub max_clients: usize,
-    /// The limit of the bytes that all clients together have sent and that are not answered yet.
-    pub max_client_bytes: usize,
+    /// How the memory of the process is divided.
+    pub memory_plan: MemoryPlan,
     /// The limit of open connections to database hosts.
     pub max_host_connections: usize,
     /// The addresses for exchanging datagrams with peers; none if the settings do not permit it or addresses are missing.
@@ -209,7 +208,12 @@
             settings,
             program_settings,
             max_clients,
-            max_client_bytes: memory_mb * (1 << 20) / CLIENT_BYTES_DIVISOR,
+            memory_plan: MemoryPlan::divide(&ProcessLimits {
+                memory_bytes: memory_mb.saturating_mul(1 << 20),
+                sockets,
+                max_clients,
+                max_host_connections,
+            }),
             max_host_connections,
             peer_endpoints,
             linger: Duration::from_millis(linger_ms),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod api;
 pub mod invariants;
 pub mod logic;
+pub mod memory;
 mod sessions;
 pub mod settings;
 mod state;
--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -1,11 +1,12 @@
-//! Limits on clients: how many connections they may have, for how long a connection may be idle, how much memory their
-//! input may take, and which request ids are in use. It also holds the state of a drain and of a stop. It must never read
+//! Limits on clients: how many connections they may have, for how long a connection may be idle, and which request ids are
+//! in use. It owns the memory that connections share. It also holds the state of a drain and of a stop. It must never read
 //! or write a connection, nor interpret a request.
 //!
 //! Slots for connections are scarce, and only an open request has a right to one. A connection that is idle between
 //! requests is closed after `IDLE_TIMEOUT`, or after `IDLE_TIMEOUT_CROWDED` when a new connection finds no free slot.
 
 use super::core::Core;
+use super::memory::{ClientMemory, ConnectionMemory, MemoryFigures};
 use super::world::{self, Spawner};
 use super::{ResourceUsage, SharedLimit, timeout_at};
 use async_channel::{Receiver, Sender};
@@ -51,15 +52,12 @@
     core: Rc<Core>,
     /// How many connections clients may have.
     max_open: SharedLimit,
-    /// How many bytes of input all clients together may have unanswered.
-    max_bytes: SharedLimit,
+    memory: ClientMemory,
     /// The number of connections with a slot.
     open: Rc<Cell<usize>>,
     /// The number of connections beyond the limit that are being refused. Counted apart, so that their closes don't take
     /// the slots of clients that could be served.
     refusing: Rc<Cell<usize>>,
-    /// The bytes of unanswered input of all clients.
-    bytes: Rc<Cell<usize>>,
     idle_connections: RefCell<IdleConnections>,
     ids: RefCell<Ids>,
     /// Closed once idle connections have to end; replaced when a drain is called off.
@@ -78,6 +76,17 @@
     ended: (Sender<()>, Receiver<()>),
 }
 
+/// What clients hold of the limits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ClientUsage {
+    /// Connections with a slot.
+    pub connections: usize,
+    /// Reserved bytes of what clients have sent and is not answered yet.
+    pub received_bytes: usize,
+    /// Reserved bytes of answers that their clients have not read yet.
+    pub answer_bytes: usize,
+}
+
 /// The connections without an open request: since when each is idle, and the sender that notifies it to end. Connections
 /// that never sent a request that a host could answer are kept apart. Guards against many clients that open sessions, send
 /// one message and stay, and would count as normal clients between requests.
@@ -118,31 +127,6 @@
     }
 }
 
-/// The part of the memory limit that one session takes; dropping it returns the part.
-pub struct MemoryShare {
-    total: Rc<Cell<usize>>,
-    own: usize,
-}
-
-impl MemoryShare {
-    /// Whether the session takes no part of the limit.
-    pub fn is_empty(&self) -> bool {
-        self.own == 0
-    }
-
-    /// Sets how many bytes the session takes.
-    pub fn set(&mut self, bytes: usize) {
-        self.total.set(self.total.get() - self.own + bytes);
-        self.own = bytes;
-    }
-}
-
-impl Drop for MemoryShare {
-    fn drop(&mut self) {
-        self.set(0);
-    }
-}
-
 /// The registration of an idle connection; dropping it removes the connection from the idle ones.
 pub struct IdleEntry<'a> {
     admission: &'a Admission,
@@ -177,14 +161,13 @@
 }
 
 impl Admission {
-    pub fn new(core: Rc<Core>, max_open: usize, max_bytes: usize, executor: Spawner) -> Admission {
+    pub fn new(core: Rc<Core>, max_open: usize, memory: ClientMemory, executor: Spawner) -> Admission {
         Admission {
             core,
             max_open: SharedLimit::new(max_open),
-            max_bytes: SharedLimit::new(max_bytes),
+            memory,
             open: Rc::default(),
             refusing: Rc::default(),
-            bytes: Rc::default(),
             idle_connections: RefCell::default(),
             ids: RefCell::default(),
             closing_idle: RefCell::new(async_channel::bounded(1)),
@@ -245,14 +228,14 @@
         self.open.get() >= self.max_open.get()
     }
 
-    /// A share of the memory limit that takes nothing yet.
-    pub fn new_memory_share(&self) -> MemoryShare {
-        MemoryShare { total: self.bytes.clone(), own: 0 }
+    /// The memory of a new connection, which holds nothing yet.
+    pub fn connection_memory(&self) -> ConnectionMemory {
+        self.memory.connection()
     }
 
-    /// Whether the input of all clients is within the memory limit.
-    pub fn has_memory(&self) -> bool {
-        self.bytes.get() <= self.max_bytes.get()
+    /// What clients' connections hold of the shared memory.
+    pub fn memory_figures(&self) -> MemoryFigures {
+        self.memory.figures()
     }
 
     /// Whether a connection was opened after a drain closed the idle ones. It then has to receive its refusal.
@@ -410,16 +393,16 @@
         let _ = self.cut_off.1.recv().await;
     }
 
-    /// The number of open connections, and the bytes of unanswered input.
-    pub fn usage(&self) -> (usize, usize) {
-        (self.open.get(), self.bytes.get())
+    /// What clients hold of the limits.
+    pub fn usage(&self) -> ClientUsage {
+        let (received_bytes, answer_bytes) = self.memory.held();
+        ClientUsage { connections: self.open.get(), received_bytes, answer_bytes }
     }
 
     /// Shares the limits with another process, which uses this much of them; `None` if there is no other.
     pub fn share_limits(&self, other: Option<ResourceUsage>) {
-        let (open, bytes) = self.usage();
-        self.max_open.share(open, other.map(|held| held.clients + OTHER_PROCESS_DESCRIPTORS));
-        self.max_bytes.share(bytes, other.map(|held| held.bytes));
+        self.max_open.share(self.open.get(), other.map(|held| held.clients + OTHER_PROCESS_DESCRIPTORS));
+        self.memory.share(other);
     }
 
     /// Closes idle connections at once, and the others behind their answers; returns when all are closed.
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -10,7 +10,8 @@
 use super::core::{Clock, Core, Request, fnv1a};
 use super::events::RefusalReason;
 use super::hosts::Hosts;
-use super::pipeline::{Pipeline, PipelineEntry, Progress, RequestScope};
+use super::memory::{AnswerMemory, Reservation};
+use super::pipeline::{EntryMemory, Pipeline, PipelineEntry, Progress, RequestScope};
 use super::request::{
     ClientLink, ClientWatch, FinalAnswer, PendingAnswer, RequestHandler, StreamResult, give_up_at, pad_value,
     stream_plain_answer, stream_value,
@@ -43,6 +44,9 @@
 const PIPELINE_SHARE_DIVISOR: usize = 8;
 /// How many bytes the pipelined requests of one connection and their answers may hold before no more requests start.
 const MAX_PIPELINE_BYTES: usize = 1 << 20;
+/// The memory of a pipelined request besides its statement, until it is answered: the state of its serving, its copy of the
+/// statement's head and its entry at the core.
+const PIPELINED_REQUEST_BYTES: usize = 16 * 1024;
 
 /// The clients of the proxy, and what their tasks share.
 pub struct Clients {
@@ -200,12 +204,14 @@
     claim: Option<IdClaim<'a>>,
     /// How a plain statement is routed; `None` for a statement with the leading comment of a request.
     plain: Option<PlainRoute>,
+    /// The memory of the statement, until the request is answered.
+    memory: Reservation,
 }
 
 /// What a session handles next.
 enum NextItem<'a> {
-    /// A message, and when its last byte was received.
-    Message(Frontend, Micros),
+    /// A message, when its last byte was received, and the memory of its statement.
+    Message(Frontend, Micros, Reservation),
     /// The result of decoding a request that was read behind another.
     Request(Box<Result<Option<DecodedRequest<'a>>, StatementRefusal>>),
     Malformed(Malformed),
@@ -246,14 +252,17 @@
 type CommitAndDuration = Option<(Option<Micros>, Duration)>;
 
 impl Clients {
-    /// A handler for one request.
-    fn request_handler<'l, 'a>(&'l self, client: ClientLink<'l, 'a>) -> RequestHandler<'l, 'a> {
+    /// A handler for one request, whose answer is held in `memory`.
+    fn request_handler<'l, 'a>(
+        &'l self, client: ClientLink<'l, 'a>, memory: &'l AnswerMemory,
+    ) -> RequestHandler<'l, 'a> {
         let Clients { core, hosts, admission, response_margin, .. } = self;
         RequestHandler {
             client,
             core,
             hosts,
             admission,
+            memory,
             response_margin: *response_margin,
             commit_and_duration: None,
         }
@@ -298,8 +307,8 @@
         let mut skipping = false;
         while let Some(item) = self.next_item().await? {
             let goes_on = match item {
-                NextItem::Message(message, received_at) => {
-                    self.handle_message(message, received_at, &mut skipping).await?
+                NextItem::Message(message, received_at, memory) => {
+                    self.handle_message(message, received_at, memory, &mut skipping).await?
                 }
                 NextItem::Request(decoded) => self.serve_request(*decoded).await?,
                 NextItem::Malformed(e) => {
@@ -310,6 +319,9 @@
             if !goes_on {
                 return Ok(());
             }
+            if self.connection.is_out_full() {
+                self.connection.flush().await?;
+            }
             if self.connection.overrun {
                 return self.connection.end_session(ReadResult::TooMuch).await;
             }
@@ -328,7 +340,10 @@
         }
         loop {
             match pg::decode_frontend(&mut self.connection.read_buffer) {
-                Ok(Some(message)) => return Ok(Some(NextItem::Message(message, self.received_at()))),
+                Ok(Some(message)) => return Ok(Some(self.received_message(message))),
+                Ok(None) if let Some(beginning) = self.connection.decode_unbuffered_query() => {
+                    return Ok(Some(self.received_message(beginning)));
+                }
                 Ok(None) => match self.connection.flush_and_read().await? {
                     ReadResult::Bytes => {}
                     other => return self.connection.end_session(other).await.map(|()| None),
@@ -338,13 +353,24 @@
         }
     }
 
+    /// The item for a message that was just decoded, with the memory that its statement needs.
+    fn received_message(&mut self, message: Frontend) -> NextItem<'a> {
+        let received_at = self.received_at();
+        let statement_bytes = match &message {
+            Frontend::Query(text) => text.len(),
+            _ => 0,
+        };
+        let memory = self.connection.take_statement_memory(statement_bytes);
+        NextItem::Message(message, received_at, memory)
+    }
+
     /// Handles one message, up to its answer; false if the session ends.
     async fn handle_message(
-        &mut self, message: Frontend, received_at: Micros, skipping: &mut bool,
+        &mut self, message: Frontend, received_at: Micros, memory: Reservation, skipping: &mut bool,
     ) -> io::Result<bool> {
         self.connection.received_message = true;
         self.connection.partial_since = None;
-        self.connection.fits_memory();
+        self.connection.return_unused_memory();
         match message {
             Frontend::Terminate => return Ok(false),
             Frontend::Sync => {
@@ -365,11 +391,12 @@
             Frontend::Query(text) if is_empty(&text) => return self.empty_query().await,
             Frontend::Query(text) if self.answer_in_refused_block(&text) => {}
             Frontend::Query(text) => {
-                let decoded = self.decode_request(text, received_at, 0);
+                let decoded = self.decode_request(text, received_at, 0, memory);
                 return self.serve_request(decoded).await;
             }
             Frontend::LongQuery(beginning, remaining) => {
-                return self.serve_long_request(beginning, received_at, remaining).await;
+                // On the heap, as other parts that few sessions need, so that a connection at rest takes little memory.
+                return Box::pin(self.serve_long_request(beginning, received_at, remaining)).await;
             }
         }
         Ok(true)
@@ -423,22 +450,24 @@
         self.connection.received_request = true;
         self.unanswered = true;
         // The answers to earlier commands don't wait for this request.
-        self.connection.flush().await?;
+        self.flush_before_start().await?;
         let scope = self.scope(&decoded.request);
+        let memory = self.connection.memory.answer();
         let answer = {
-            let mut handler = self.clients.request_handler(ClientLink::Complete(self.watch));
+            let mut handler = self.clients.request_handler(ClientLink::Complete(self.watch), &memory);
             let answer = {
-                let serving =
-                    pin!(handler.serve(&decoded.request, &decoded.statement, decoded.plain.as_ref()));
-                self.drive_head(serving, scope, decoded.plain.is_some()).await
+                let mut serving =
+                    Box::pin(handler.serve(&decoded.request, &decoded.statement, decoded.plain.as_ref()));
+                self.drive_head(serving.as_mut(), scope, decoded.plain.is_some()).await
             };
             self.commit_and_duration = handler.commit_and_duration;
             answer
         };
-        if !self.write_answer(answer, scope, decoded.plain.as_ref()).await? {
+        let DecodedRequest { plain, claim, .. } = decoded;
+        if !self.write_answer(answer, scope, plain.as_ref(), &memory).await? {
             return Ok(false);
         }
-        drop(decoded);
+        drop(claim);
         while let Some(entry) = self.pipeline.pop() {
             if !self.answer_next(entry).await? {
                 return Ok(false);
@@ -449,16 +478,21 @@
 
     /// Completes the pipelined request whose turn has come, and writes its answer; false if the connection has to end.
     async fn answer_next(&mut self, entry: PipelineEntry<'a>) -> io::Result<bool> {
-        let PipelineEntry { scope, claim, progress, .. } = entry;
+        let PipelineEntry { scope, claim, progress, memory, .. } = entry;
         let answer = match progress {
             Progress::Answered(answer) => answer,
-            Progress::Unanswered { mut serving, .. } => {
+            Progress::Unanswered { mut serving, started } => {
                 self.unanswered = true;
-                self.flush().await?;
+                if started {
+                    self.flush().await?
+                } else {
+                    self.flush_before_start().await?
+                }
                 self.drive_head(serving.as_mut(), scope, false).await
             }
         };
-        let answered = self.write_answer(answer, scope, None).await;
+        drop(memory.request);
+        let answered = self.write_answer(answer, scope, None, &memory.answer).await;
         drop(claim);
         answered
     }
@@ -469,6 +503,13 @@
         self.pipeline.run_alongside(self.connection.flush()).await
     }
 
+    /// Writes the bytes that are due before the next request starts, and waits until its answer can be written as well.
+    async fn flush_before_start(&mut self) -> io::Result<()> {
+        self.flush().await?;
+        self.pipeline.run_alongside(self.connection.until_writable()).await;
+        Ok(())
+    }
+
     /// Drives the request whose turn it is, `head`, to its end. Unless it is `exclusive`, requests behind it are read and
     /// served meanwhile.
     async fn drive_head<T>(
@@ -542,7 +583,7 @@
         match &self.deferred {
             _ if exclusive => false,
             None => true,
-            Some(NextItem::Message(message, _)) => matches!(message, Frontend::LongQuery(..)),
+            Some(NextItem::Message(message, ..)) => matches!(message, Frontend::LongQuery(..)),
             Some(NextItem::Request(_) | NextItem::Malformed(_)) => false,
         }
     }
@@ -551,6 +592,10 @@
     /// other item is deferred, and reading stops there.
     fn read_pipelined(&mut self) {
         while self.deferred.is_none() && !self.connection.read_buffer.is_empty() && self.may_pipeline_more() {
+            let message_bytes = self.connection.read_buffer.message_bytes().unwrap_or(0);
+            // Without memory the request stays in the buffer until its turn.
+            let wanted = message_bytes.min(pg::MAX_MESSAGE_BYTES) + PIPELINED_REQUEST_BYTES;
+            let Some(memory) = self.connection.memory.received.reserve(wanted) else { return };
             let message = match pg::decode_frontend(&mut self.connection.read_buffer) {
                 Ok(Some(message)) => message,
                 Ok(None) => return,
@@ -560,28 +605,33 @@
                 }
             };
             let received_at = self.received_at();
+            self.connection.return_unused_memory();
             self.deferred = match message {
                 Frontend::Query(text) if !is_empty(&text) && self.is_independent(&text) => {
-                    match self.decode_request(text, received_at, 0) {
-                        Ok(Some(DecodedRequest { request, statement, claim: Some(claim), plain: None })) => {
-                            self.push_pipelined(request, statement, claim);
+                    match self.decode_request(text, received_at, 0, memory) {
+                        Ok(Some(DecodedRequest {
+                            request,
+                            statement,
+                            claim: Some(claim),
+                            plain: None,
+                            memory,
+                        })) => {
+                            self.push_pipelined(request, statement, claim, memory);
                             None
                         }
                         other => Some(NextItem::Request(Box::new(other))),
                     }
                 }
-                other => Some(NextItem::Message(other, received_at)),
+                other => Some(NextItem::Message(other, received_at, memory)),
             };
             self.update_request_bytes();
         }
     }
 
     /// Whether the limits admit one more request to the pipeline.
-    fn may_pipeline_more(&mut self) -> bool {
+    fn may_pipeline_more(&self) -> bool {
         let max_open = self.clients.hosts.max_connections() / PIPELINE_SHARE_DIVISOR;
-        self.pipeline.len() + 1 < max_open
-            && self.connection.request_bytes < MAX_PIPELINE_BYTES
-            && self.connection.fits_memory()
+        self.pipeline.len() + 1 < max_open && self.connection.request_bytes < MAX_PIPELINE_BYTES
     }
 
     /// Whether a statement doesn't depend on earlier ones of its session. Plain statements do: they have to see the
@@ -592,17 +642,23 @@
     }
 
     /// Adds a request to the pipeline.
-    fn push_pipelined(&mut self, request: Request, statement: Statement, claim: IdClaim<'a>) {
+    fn push_pipelined(
+        &mut self, request: Request, statement: Statement, claim: IdClaim<'a>, memory: Reservation,
+    ) {
         let clients = self.clients;
         let watch = self.watch;
         let scope = self.scope(&request);
         let bytes = statement.text().len();
-        let serving = Box::pin(async move {
-            let mut handler = clients.request_handler(ClientLink::Complete(watch));
+        let answer_memory = Rc::new(self.connection.memory.answer());
+        let memory = EntryMemory { request: memory, answer: answer_memory.clone() };
+        let serving = async move {
+            let link = ClientLink::Complete(watch);
+            let mut handler = clients.request_handler(link, &answer_memory);
             handler.serve(&request, &statement, None).await
-        });
-        let progress = Progress::Unanswered { serving, started: false };
-        self.pipeline.push(PipelineEntry { scope, claim, bytes, progress });
+        };
+        debug_assert!(size_of_val(&serving) < PIPELINED_REQUEST_BYTES, "{}", size_of_val(&serving));
+        let progress = Progress::Unanswered { serving: Box::pin(serving), started: false };
+        self.pipeline.push(PipelineEntry { scope, claim, bytes, memory, progress });
     }
 
     /// Updates the memory that the pipelined requests hold.
@@ -625,19 +681,21 @@
         &mut self, beginning: String, received_at: Micros, mut remaining: usize,
     ) -> io::Result<bool> {
         if !self.answer_in_refused_block(&beginning) {
-            match self.decode_request(beginning, received_at, remaining) {
+            let memory = self.connection.memory.received.reserve_nothing();
+            match self.decode_request(beginning, received_at, remaining, memory) {
                 Ok(Some(decoded)) => {
                     self.connection.received_request = true;
                     self.unanswered = true;
                     self.connection.flush().await?;
+                    let memory = self.connection.memory.answer();
                     let client =
                         ClientLink::Uploading { connection: &mut self.connection, remaining: &mut remaining };
-                    let mut handler = self.clients.request_handler(client);
+                    let mut handler = self.clients.request_handler(client, &memory);
                     let answer =
                         handler.serve(&decoded.request, &decoded.statement, decoded.plain.as_ref()).await;
                     self.commit_and_duration = handler.commit_and_duration;
                     let scope = self.scope(&decoded.request);
-                    if !self.write_answer(answer, scope, decoded.plain.as_ref()).await? {
+                    if !self.write_answer(answer, scope, decoded.plain.as_ref(), &memory).await? {
                         return Ok(false);
                     }
                 }
@@ -658,6 +716,7 @@
     /// Writes the answer to a request, and counts it; false if there is none and the connection has to end.
     async fn write_answer(
         &mut self, answer: Option<PendingAnswer>, scope: RequestScope, plain: Option<&PlainRoute>,
+        memory: &AnswerMemory,
     ) -> io::Result<bool> {
         let Some(answer) = answer else {
             self.connection.set_close_reason(CloseReason::ClientLeft);
@@ -667,7 +726,11 @@
             self.connection.set_close_reason(CloseReason::Rested);
             return Ok(false);
         }
-        let Some(answer) = self.stream_answer(answer).await else {
+        memory.shrink_to(answer.held_bytes());
+        if self.connection.must_write_before(answer.held_bytes()) {
+            self.flush().await?;
+        }
+        let Some(answer) = self.stream_answer(answer, memory).await else {
             self.connection.set_close_reason(CloseReason::ValueBrokenOff);
             return Ok(false);
         };
@@ -685,6 +748,7 @@
         }
         self.put_final_answer(scope.class, answer);
         self.put_ready();
+        self.connection.keep_until_written(memory.take());
         Ok(true)
     }
 
@@ -695,11 +759,12 @@
 
     /// Streams an answer that isn't complete to the client, and returns what remains to be written. `None` if the answer
     /// broke off and the connection has to end. Pipelined requests go on while a long row is streamed.
-    async fn stream_answer(&mut self, answer: PendingAnswer) -> Option<FinalAnswer> {
+    async fn stream_answer(&mut self, answer: PendingAnswer, memory: &AnswerMemory) -> Option<FinalAnswer> {
         let (connection, hosts) = (&mut self.connection, &self.clients.hosts);
         match answer {
             PendingAnswer::StreamedRow(long) => {
-                match self.pipeline.run_alongside(stream_value(connection, hosts, long)).await {
+                let streaming = Box::pin(stream_value(connection, hosts, long, memory));
+                match self.pipeline.run_alongside(streaming).await {
                     StreamResult::Complete => Some(FinalAnswer::Streamed),
                     StreamResult::NothingSent => Some(FinalAnswer::Failed),
                     StreamResult::BrokenOff { missing } if self.has_requests_behind() => {
@@ -712,7 +777,7 @@
                 }
             }
             PendingAnswer::StreamedResult(stream) => {
-                let commit_position = stream_plain_answer(connection, hosts, stream).await?;
+                let commit_position = stream_plain_answer(connection, hosts, stream, memory).await?;
                 // The position of a commit is reported at the answer's end.
                 if let (Some((position, _)), Some(commit_position)) =
                     (&mut self.commit_and_duration, commit_position)
@@ -773,7 +838,7 @@
     /// Decodes a request of which `remaining` bytes are still to come. `Ok(None)` if the text holds no statement; the error
     /// is the client's answer.
     fn decode_request(
-        &self, text: String, received_at: Micros, remaining: usize,
+        &self, text: String, received_at: Micros, remaining: usize, memory: Reservation,
     ) -> Result<Option<DecodedRequest<'a>>, StatementRefusal> {
         let fields =
             |code: &str, message: String| ErrorFields { code: code.into(), message, ..Default::default() };
@@ -781,6 +846,12 @@
         let core = &self.clients.core;
         let statements = self.clients.statements().filter(|_| !Statement::has_request_comment(&text));
         let (class, statement, plain) = match statements {
+            Some(_) if remaining > 0 && text.len() + remaining < pg::MAX_MESSAGE_BYTES => {
+                core.events.refused("", RefusalReason::Memory);
+                let message = "no memory for a statement of this length: trying again later is harmless";
+                let refused = fields(code::TOO_MANY_CONNECTIONS, message.into());
+                return Err(ErrorFields { retry_in_ms: retry_advice_ms(core.retry_in), ..refused }.into());
+            }
             Some(_) if remaining > 0 => {
                 let message = format!("a plain statement of over {} bytes", pg::MAX_MESSAGE_BYTES);
                 return Err(error(code::LIMIT_EXCEEDED, message));
@@ -834,7 +905,7 @@
             plain: plain.is_some() || !statement.keyed && core.is_keyed(class),
             expected_duration: plain.as_ref().map_or(0, |p| p.expected_duration),
         };
-        Ok(Some(DecodedRequest { request, statement, claim, plain }))
+        Ok(Some(DecodedRequest { request, statement, claim, plain, memory }))
     }
 
     /// Appends a final answer to the bytes that are due, and counts it.
@@ -851,8 +922,7 @@
                 pg::put_row(&mut self.connection.out, &row);
             }
             FinalAnswer::Served(row) => pg::put_row(&mut self.connection.out, &row),
-            FinalAnswer::Plain(bytes) if self.connection.out.is_empty() => self.connection.out = bytes,
-            FinalAnswer::Plain(bytes) => self.connection.out.extend(bytes),
+            FinalAnswer::Plain(bytes) => self.connection.put_bytes(bytes),
             FinalAnswer::Streamed => {}
             FinalAnswer::Refused { retry_in } => {
                 let fields = ErrorFields {
@@ -888,6 +958,7 @@
                         pg::put_negotiate_protocol_version(&mut self.connection.out, &options);
                     }
                     pg::put_welcome(&mut self.connection.out);
+                    self.connection.in_session = true;
                     return Ok(true);
                 }
                 Err(e) => {
--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -4,14 +4,13 @@
 //!
 //! A client that sends nothing, or only a part of a message, is disconnected after `CONTINUE_TIMEOUT`.
 
-use super::admission::{
-    Admission, IDLE_TIMEOUT, IDLE_TIMEOUT_CROWDED, IDLE_TIMEOUT_OVERCROWDED, MemoryShare,
-};
-use super::world::{self, Stream};
+use super::admission::{Admission, IDLE_TIMEOUT, IDLE_TIMEOUT_CROWDED, IDLE_TIMEOUT_OVERCROWDED};
+use super::memory::{ConnectionMemory, Reservation};
+use super::world::{self, READ_BYTES, Stream};
 use super::{read_into, timeout_at};
 use crate::invariants::CloseReason;
 use crate::mutants;
-use crate::pg::{self, ErrorFields, ReadBuffer, code};
+use crate::pg::{self, ErrorFields, Frontend, MAX_MESSAGE_BYTES, MAX_STARTUP_BYTES, ReadBuffer, code};
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use std::collections::VecDeque;
@@ -40,8 +39,10 @@
 /// When idle connections are closed, one without any request so far gets this much longer: the request that the client
 /// wrote behind its startup message may be on its way.
 const NO_REQUEST_GRACE: Duration = Duration::from_millis(200);
-/// How many bytes a connection may hold before they count towards the memory limit of all clients.
-const UNSHARED_BYTES: usize = 8 * 1024;
+/// How much of the buffer for due bytes is kept once they are written.
+const KEPT_OUT_BYTES: usize = 1024;
+/// Answers that are ready are written together, up to this length.
+const MAX_COALESCED_BYTES: usize = 64 * 1024;
 
 /// Appends an error that ends the session.
 pub fn put_fatal(out: &mut Vec<u8>, code: &str, message: &str) {
@@ -106,11 +107,19 @@
     received_bytes: u64,
     /// The receive times of the bytes that were read behind an open request.
     receive_times: VecDeque<ReceiveTime>,
-    /// The memory of requests that were decoded and not answered yet.
+    /// What the pipelined requests and their answers hold.
     pub request_bytes: usize,
-    memory_share: MemoryShare,
+    pub memory: ConnectionMemory,
+    /// What the read buffer holds beyond `buffer_bytes`.
+    read_memory: Reservation,
     /// Bytes that are due to the client and not written yet.
     pub out: Vec<u8>,
+    /// What `out` holds beyond `buffer_bytes`.
+    out_memory: Reservation,
+    /// The socket did not take all of the last bytes at once: the client reads slowly.
+    write_blocked: bool,
+    /// The session's start is over: what comes are messages of the session.
+    pub in_session: bool,
     /// The session has received a complete message.
     pub received_message: bool,
     /// The session has received a request.
@@ -129,6 +138,7 @@
 
 impl<'a> ClientConnection<'a> {
     pub fn new(admission: &'a Rc<Admission>, stream: Rc<Stream>) -> ClientConnection<'a> {
+        let memory = admission.connection_memory();
         ClientConnection {
             admission,
             stream,
@@ -138,8 +148,12 @@
             received_bytes: 0,
             receive_times: VecDeque::new(),
             request_bytes: 0,
-            memory_share: admission.new_memory_share(),
+            read_memory: memory.received.reserve_nothing(),
             out: Vec::new(),
+            out_memory: memory.answers.reserve_nothing(),
+            memory,
+            write_blocked: false,
+            in_session: false,
             received_message: false,
             received_request: false,
             partial_since: None,
@@ -170,9 +184,11 @@
         if !self.read_buffer.is_empty() {
             return Ok(ReadResult::Bytes);
         }
-        match timeout_at(world::now() + CONTINUE_TIMEOUT, read_into(&self.stream, &mut self.read_buffer))
-            .await
-        {
+        // Large pieces where there is memory for one that was read, and one that is due to a host.
+        let has_memory = self.read_memory.grow_to(2 * READ_BYTES);
+        let max_bytes = if has_memory { READ_BYTES } else { self.memory.buffer_bytes };
+        let read = read_into(&self.stream, &mut self.read_buffer, max_bytes);
+        match timeout_at(world::now() + CONTINUE_TIMEOUT, read).await {
             Some(Ok(n @ 1..)) => {
                 self.received_bytes += n as u64;
                 self.last_received = world::now();
@@ -220,6 +236,31 @@
         }
     }
 
+    /// Appends bytes that are due to the client.
+    pub fn put_bytes(&mut self, mut bytes: Vec<u8>) {
+        if self.out.is_empty() {
+            self.out = bytes;
+        } else {
+            pg::reserve_in_steps(&mut self.out, bytes.len());
+            self.out.append(&mut bytes);
+        }
+    }
+
+    /// Keeps the memory of an answer that is about to be due, until it is written.
+    pub fn keep_until_written(&mut self, answer: Option<Reservation>) {
+        answer.into_iter().for_each(|reservation| self.out_memory.absorb(reservation));
+    }
+
+    /// Whether an answer of `more` bytes has to wait until what is due has been written.
+    pub fn must_write_before(&self, more: usize) -> bool {
+        !self.out.is_empty() && (self.out.len() + more > MAX_COALESCED_BYTES || self.is_out_full())
+    }
+
+    /// Whether what is due has to be written before anything else is done.
+    pub fn is_out_full(&self) -> bool {
+        self.out.len() > self.out_memory.bytes() + self.memory.buffer_bytes
+    }
+
     /// Writes the bytes that are due. While requests of the connection are open, it also fails once the client has closed
     /// the connection, so that these requests end.
     pub async fn flush(&mut self) -> io::Result<()> {
@@ -238,6 +279,7 @@
     /// Writes all bytes that are due.
     async fn write_due(&mut self) -> io::Result<()> {
         let mut written = 0;
+        let mut is_blocked = false;
         while written < self.out.len() {
             let disconnected = async {
                 self.until_hung_up().await;
@@ -247,12 +289,27 @@
                 0 => self.write_part(written).await?,
                 _ => future::or(self.write_part(written), disconnected).await?,
             };
+            is_blocked |= written < self.out.len();
         }
+        self.write_blocked |= is_blocked;
         self.out.clear();
-        self.out.shrink_to(UNSHARED_BYTES);
+        self.out.shrink_to(KEPT_OUT_BYTES);
+        self.out_memory.shrink_to(0);
         Ok(())
     }
 
+    /// Where the client reads slowly, waits until its socket takes a whole answer. Guards against an answer that holds memory,
+    /// or a host's connection, for as long as the client takes to read the ones before. Ends too if the client
+    /// disconnects or reads nothing.
+    pub async fn until_writable(&mut self) {
+        if !std::mem::take(&mut self.write_blocked) {
+            return;
+        }
+        let writable = async { drop(self.stream.until_writable().await) };
+        let waited = future::or(writable, self.until_hung_up());
+        timeout_at(world::now() + WRITE_TIMEOUT, waited).await;
+    }
+
     /// Writes some of the bytes that are due, beginning at `from`. Returns how many.
     async fn write_part(&self, from: usize) -> io::Result<usize> {
         let written = timeout_at(world::now() + WRITE_TIMEOUT, self.stream.write(&self.out[from..])).await;
@@ -265,6 +322,7 @@
     /// Writes the bytes that are due, then waits for more from the client, up to the timeout that applies to it.
     pub async fn flush_and_read(&mut self) -> io::Result<ReadResult> {
         self.flush().await?;
+        self.return_unused_memory();
         let now = world::now();
         let idle = self.read_buffer.is_empty();
         if idle && !self.receive_times.is_empty() {
@@ -313,7 +371,8 @@
         let _idle_entry = (idle || !self.received_request)
             .then(|| admission.register_idle(self.received_request, self.eviction.0.clone()));
         // Reading takes precedence: a request that has been received already is still served.
-        let read = async { Some(read_into(&self.stream, &mut self.read_buffer).await) };
+        let Some(max_bytes) = self.receive_room() else { return Ok(ReadResult::TooMuch) };
+        let read = async { Some(read_into(&self.stream, &mut self.read_buffer, max_bytes).await) };
         // A connection that was opened after the idle ones were closed stays open for its refusal, with the usual timeouts.
         let opened_late = self.admission.opened_after_idle_close(self.opened_at);
         let mut stopping = false;
@@ -341,7 +400,7 @@
         match read {
             Some(Ok(n)) if n > 0 => {
                 self.received_bytes += n as u64;
-                return Ok(if self.fits_memory() { ReadResult::Bytes } else { ReadResult::TooMuch });
+                return Ok(ReadResult::Bytes);
             }
             Some(Err(e)) => {
                 self.set_close_reason(CloseReason::ReadFailed);
@@ -361,11 +420,49 @@
         self.stream.is_idle()
     }
 
-    /// Updates this client's share of the memory limit. Returns whether there is memory for what it has sent.
-    pub fn fits_memory(&mut self) -> bool {
-        self.memory_share
-            .set((self.read_buffer.capacity() + self.request_bytes).saturating_sub(UNSHARED_BYTES));
-        self.memory_share.is_empty() || self.admission.has_memory()
+    /// How many bytes may be received now, for which memory is reserved where they don't fit into a buffer. `None` if there
+    /// is no memory.
+    fn receive_room(&mut self) -> Option<usize> {
+        let (held, buffer_bytes) = (self.read_buffer.len(), self.memory.buffer_bytes);
+        let wanted = match self.read_buffer.message_bytes() {
+            _ if !self.in_session => buffer_bytes.max(MAX_STARTUP_BYTES),
+            Some(message) if held < message && message <= 1 + MAX_MESSAGE_BYTES => message.max(buffer_bytes),
+            _ if held < buffer_bytes => buffer_bytes,
+            _ => held + READ_BYTES,
+        };
+        let is_granted = !self.in_session || self.read_memory.grow_to(wanted.saturating_sub(buffer_bytes));
+        let limit = if is_granted { wanted } else { buffer_bytes };
+        Some(limit.saturating_sub(held)).filter(|&room| room > 0)
+    }
+
+    /// Returns the reserved memory that the read buffer doesn't need any more.
+    pub fn return_unused_memory(&mut self) {
+        let needed = self.read_buffer.capacity().saturating_sub(self.memory.buffer_bytes);
+        self.read_memory.shrink_to(needed);
+    }
+
+    /// The memory of a statement of this length that was decoded from the read buffer.
+    pub fn take_statement_memory(&mut self, statement_bytes: usize) -> Reservation {
+        if self.read_memory.bytes() == 0 {
+            return self.memory.received.reserve_nothing();
+        }
+        self.read_buffer.compact();
+        let memory = self.read_memory.split_off(statement_bytes.saturating_sub(self.memory.buffer_bytes));
+        self.return_unused_memory();
+        memory
+    }
+
+    /// The beginning of a statement for which there is no memory, and whose rest is streamed to a host. `None` if the
+    /// message is none, if there is memory for it, or if its beginning has not arrived.
+    pub fn decode_unbuffered_query(&mut self) -> Option<Frontend> {
+        let message_bytes =
+            self.read_buffer.message_bytes().filter(|&bytes| bytes <= 1 + MAX_MESSAGE_BYTES)?;
+        if self.read_memory.grow_to(message_bytes.saturating_sub(self.memory.buffer_bytes)) {
+            return None;
+        }
+        let beginning = pg::decode_unbuffered_query(&mut self.read_buffer)?;
+        self.return_unused_memory();
+        Some(beginning)
     }
 
     /// When the last byte of the message that was decoded last was received.
@@ -378,7 +475,7 @@
     }
 
     /// Returns once the open request is abandoned. With `reads`, what the client sends meanwhile is kept, up to
-    /// `MAX_READ_AHEAD_BYTES` and the memory limit of all clients. Bytes beyond are read and discarded, since the end of
+    /// `MAX_READ_AHEAD_BYTES` and the connection's part of the memory. Bytes beyond are read and discarded, since the end of
     /// the connection shows only behind them, and the session ends behind the answer.
     pub async fn until_abandoned(&mut self, reads: bool) -> AbandonReason {
         if !reads {
@@ -423,25 +520,35 @@
         if mutants::on("departures are not seen") {
             return future::pending().await;
         }
-        let too_much = self.read_buffer.len() > MAX_READ_AHEAD_BYTES || !self.fits_memory();
+        let too_much = self.read_buffer.len() > MAX_READ_AHEAD_BYTES;
         if too_much && mode == ReadAheadMode::Bounded && !self.overrun {
             self.until_hung_up().await;
             return false;
         }
         self.overrun |= too_much;
-        let read = match self.overrun {
-            true => self.stream.read_with(|_| ()).await,
-            false => {
-                let read = read_into(&self.stream, &mut self.read_buffer).await;
-                if let Ok(count) = read {
-                    self.note_received(count);
-                }
-                read
-            }
-        };
+        if self.overrun {
+            return matches!(self.stream.read_with(|_| ()).await, Ok(1..));
+        }
+        let Some(max_bytes) = self.until_room().await else { return false };
+        let read = read_into(&self.stream, &mut self.read_buffer, max_bytes).await;
+        if let Ok(count) = read {
+            self.note_received(count);
+        }
         matches!(read, Ok(1..))
     }
 
+    /// Waits until there is memory for more of what the client sends, and returns for how much. `None` once the client has
+    /// closed its connection.
+    async fn until_room(&mut self) -> Option<usize> {
+        loop {
+            match self.receive_room() {
+                Some(max_bytes) => return Some(max_bytes),
+                None if self.is_hung_up() => return None,
+                None => world::after(HANGUP_CHECK_INTERVAL).await,
+            }
+        }
+    }
+
     /// Keeps the receive time of `count` bytes that were just read behind an open request.
     fn note_received(&mut self, count: usize) {
         if self.receive_times.is_empty() && self.read_buffer.len() > count {
@@ -481,7 +588,9 @@
             return;
         }
         self.read_buffer.clear();
-        self.memory_share.set(0);
+        self.read_memory.shrink_to(0);
+        self.out = Vec::new();
+        self.out_memory.shrink_to(0);
         let drained = async {
             while let Some(Ok(n)) =
                 timeout_at(world::now() + LINGER_QUIET, self.stream.read_with(|_| ())).await
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -173,6 +173,7 @@
             },
             "/ops/stats" => match serde_json::to_value(self.core.figures()) {
                 Ok(mut stats) => {
+                    stats["client_memory"] = json!(self.clients.admission.memory_figures());
                     if let Some(statements) = self.clients.statements() {
                         stats["statements"] = json!(statements.figures());
                     }
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -31,6 +31,8 @@
     NoConnection,
     /// All slots for clients were taken.
     Full,
+    /// There was no memory for a plain statement.
+    Memory,
 }
 
 /// What ended the attempt before a retry.
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -8,11 +8,14 @@
 
 use super::core::{Clock, Core, HostTask, StreamedWrite};
 use super::listing::{Listing, Status};
+use super::memory::AnswerMemory;
 use super::world::{self, Spawner};
 use super::{ResourceUsage, SharedLimit, read_into, timeout_at, warn_rate_limited};
 use crate::invariants::{self, AttemptStart, Denial, RequestStart, StartedAttempt};
 use crate::mutants;
-use crate::pg::{self, AnswerForwarder, Backend, Column, ErrorFields, ForwardStep, PlainError, Statement};
+use crate::pg::{
+    self, AnswerForwarder, Backend, Column, ErrorFields, ForwardStep, PlainError, ReadBuffer, Statement,
+};
 use crate::{HostId, HostReport, Micros, Outcome, Role};
 use async_channel::Receiver;
 pub use connection::CompletedAttempt;
@@ -35,6 +38,16 @@
 /// The part of an answer to a plain statement that is held in memory. An answer that fits is passed on only when it is
 /// complete, so that another attempt is still possible if it breaks off.
 const MAX_PLAIN_ANSWER_BYTES: usize = 64 * 1024;
+/// A statement of up to this length is copied, and so written at once.
+const MAX_COPIED_STATEMENT_BYTES: usize = 2 * 1024;
+/// The most of a streamed answer that is read at once, if there is memory for it.
+const STREAMED_PIECE_BYTES: usize = 32 * 1024;
+/// The memory for streaming an answer in such pieces: one that was read, and one that is due to the client.
+const STREAM_BYTES: usize = 2 * STREAMED_PIECE_BYTES;
+/// The memory for holding the answer to a plain statement: what is held, a message that is being received, and a piece
+/// beyond each.
+const PLAIN_ANSWER_BYTES: usize =
+    MAX_PLAIN_ANSWER_BYTES + pg::MAX_PLAIN_DECODED_BYTES + 2 * STREAMED_PIECE_BYTES + 16 * 1024;
 /// A connect without an answer for this long shows that its host is out of reach, however long the connect timeout is. A
 /// handshake takes a few round trips. With half of a long timeout as the only bound, reads with shorter deadlines would
 /// never detect such a host.
@@ -70,6 +83,20 @@
 }
 
 impl AttemptConnection {
+    /// Writes a complete statement. A long one is not copied as a whole.
+    async fn write_query(&mut self, statement: &Statement, patience_ms: u64) -> io::Result<()> {
+        let mut beginning = Vec::new();
+        let rest = pg::put_query_head(&mut beginning, statement, patience_ms);
+        if beginning.len() + rest.len() < MAX_COPIED_STATEMENT_BYTES {
+            beginning.extend_from_slice(rest);
+            beginning.push(pg::TEXT_END);
+            return self.connection.stream.write_all(&beginning).await;
+        }
+        self.connection.stream.write_all(&beginning).await?;
+        self.connection.stream.write_all(rest).await?;
+        self.connection.stream.write_all(&[pg::TEXT_END]).await
+    }
+
     /// Writes a piece of a statement. Fails too if the host accepts nothing for `STALL_TIMEOUT`.
     pub async fn write(&mut self, mut piece: &[u8]) -> io::Result<()> {
         while !piece.is_empty() {
@@ -103,8 +130,15 @@
         self.remaining
     }
 
-    /// Appends the next piece of the value and returns its length, 0 at the value's end. Fails if the value breaks off.
-    pub async fn read_piece(&mut self, out: &mut Vec<u8>) -> io::Result<usize> {
+    /// The bytes that were received and not passed on.
+    pub fn buffered_bytes(&self) -> usize {
+        self.attempt.connection.read_buffer.capacity()
+    }
+
+    /// Appends the next piece of the value and returns its length, 0 at the value's end. Pieces are small where `memory`
+    /// has no room for large ones. Fails if the value breaks off.
+    pub async fn read_piece(&mut self, out: &mut Vec<u8>, memory: &AnswerMemory) -> io::Result<usize> {
+        let max_bytes = piece_bytes(memory);
         let connection = &mut self.attempt.connection;
         if self.remaining > 0 && connection.read_buffer.is_empty() {
             let stall_deadline = world::now() + STALL_TIMEOUT;
@@ -113,7 +147,8 @@
             } else {
                 stall_deadline
             };
-            let read = timeout_at(deadline, read_into(&connection.stream, &mut connection.read_buffer)).await;
+            let read = read_into(&connection.stream, &mut connection.read_buffer, max_bytes);
+            let read = timeout_at(deadline, read).await;
             if read.unwrap_or_else(|| Err(ErrorKind::TimedOut.into()))? == 0 {
                 return Err(ErrorKind::UnexpectedEof.into());
             }
@@ -124,6 +159,26 @@
     }
 }
 
+/// How much of a streamed answer is read at once.
+fn piece_bytes(memory: &AnswerMemory) -> usize {
+    if memory.hold(STREAM_BYTES) { STREAMED_PIECE_BYTES } else { memory.buffer_bytes() }
+}
+
+/// How much more may be read of the answer to a plain statement. `None` if there is no memory for a message that has to
+/// be received as a whole.
+fn plain_receive_room(read_buffer: &ReadBuffer, memory: &AnswerMemory) -> Option<usize> {
+    if memory.reserved_bytes() >= PLAIN_ANSWER_BYTES {
+        return Some(STREAMED_PIECE_BYTES);
+    }
+    let room = memory.buffer_bytes().saturating_sub(read_buffer.len());
+    if room > 0 { Some(room) } else { memory.hold(PLAIN_ANSWER_BYTES).then_some(STREAMED_PIECE_BYTES) }
+}
+
+/// How much of the answer to a plain statement is held at once.
+fn max_plain_bytes(memory: &AnswerMemory) -> usize {
+    if memory.hold(PLAIN_ANSWER_BYTES) { MAX_PLAIN_ANSWER_BYTES } else { memory.buffer_bytes() }
+}
+
 /// The answer to a plain statement, of which a part is not read yet.
 pub struct StreamedAnswer {
     attempt: AttemptConnection,
@@ -152,8 +207,15 @@
         StreamedAnswer { attempt, forwarder, report, beginning, is_session_changed: false }
     }
 
+    /// The bytes that were received and not passed on.
+    pub fn buffered_bytes(&self) -> usize {
+        self.beginning.capacity() + self.attempt.connection.read_buffer.capacity()
+    }
+
     /// Appends what has arrived of the answer, up to `max_bytes` in `out`. Waits only if nothing has arrived.
-    async fn read_step(&mut self, out: &mut Vec<u8>, max_bytes: usize) -> Result<AnswerStep, ReadError> {
+    async fn read_step(
+        &mut self, out: &mut Vec<u8>, max_bytes: usize, memory: &AnswerMemory,
+    ) -> Result<AnswerStep, ReadError> {
         let connection = &mut self.attempt.connection;
         let mut has_progress = false;
         while out.len() < max_bytes {
@@ -165,7 +227,12 @@
                 ForwardStep::Forwarded => has_progress = true,
                 ForwardStep::NeedsInput if has_progress => break,
                 ForwardStep::NeedsInput => {
-                    match read_into(&connection.stream, &mut connection.read_buffer).await {
+                    let Some(max_bytes) = plain_receive_room(&connection.read_buffer, memory) else {
+                        return Err(ReadError::Protocol(
+                            "there is no memory for a message of an answer".into(),
+                        ));
+                    };
+                    match read_into(&connection.stream, &mut connection.read_buffer, max_bytes).await {
                         Ok(1..) => has_progress = true,
                         _ => return Err(ReadError::Disconnected),
                     }
@@ -184,9 +251,9 @@
     }
 
     /// Appends the next piece of the answer. Returns false at the answer's end. Fails if the answer breaks off.
-    pub async fn read_piece(&mut self, out: &mut Vec<u8>) -> io::Result<bool> {
-        let step =
-            timeout_at(world::now() + STALL_TIMEOUT, self.read_step(out, MAX_PLAIN_ANSWER_BYTES)).await;
+    pub async fn read_piece(&mut self, out: &mut Vec<u8>, memory: &AnswerMemory) -> io::Result<bool> {
+        let step = self.read_step(out, max_plain_bytes(memory), memory);
+        let step = timeout_at(world::now() + STALL_TIMEOUT, step).await;
         match step.unwrap_or(Err(ReadError::Disconnected)) {
             Ok(AnswerStep::Progress) => Ok(true),
             Ok(AnswerStep::Complete) => Ok(false),
@@ -213,13 +280,17 @@
     /// How long a connection may be idle and still be used.
     max_idle: Duration,
     drain_grace: Micros,
+    /// How much each connection reads of a message for which no memory is reserved.
+    buffer_bytes: usize,
     /// The startup message of every session.
     startup: Vec<u8>,
 }
 
 impl Hosts {
     /// An owner without connections. It will open at most `limit` of them, with sessions as `user` in `database`.
-    pub fn new(core: Rc<Core>, limit: usize, drain_grace: Micros, user: &str, database: &str) -> Hosts {
+    pub fn new(
+        core: Rc<Core>, limit: usize, buffer_bytes: usize, drain_grace: Micros, user: &str, database: &str,
+    ) -> Hosts {
         let mut startup = Vec::new();
         pg::put_startup(&mut startup, user, database);
         Hosts {
@@ -230,6 +301,7 @@
             connect_timeout: Duration::from_micros(core.program_settings.dial_timeout_us),
             max_idle: Duration::from_micros(core.program_settings.keepalive_us).mul_f64(USABLE_IDLE_SHARE),
             drain_grace,
+            buffer_bytes,
             core,
         }
     }
@@ -297,35 +369,33 @@
     /// `deadline`. Dropping the future closes the connection, which withdraws the attempt.
     ///
     /// `context` is called once the connection is open. `on_written` is called once the last byte is written. `partial`
-    /// holds what the answer has reported about the host so far.
+    /// holds what the answer has reported about the host so far. The answer is held in `memory`.
     #[allow(clippy::too_many_arguments, reason = "all that an attempt depends on")]
     pub async fn attempt(
         &self, host: HostId, statement: &Statement, writes: bool, deadline: Micros,
         context: impl Fn(Micros) -> AttemptContext, on_written: impl FnOnce(), partial: &Cell<HostReport>,
+        memory: &AnswerMemory,
     ) -> CompletedAttempt {
         let deadline_instant = self.core.clock.instant(deadline);
-        let (attempt, start) = match self.open(host, &statement.id, deadline, context).await {
+        let (mut attempt, start) = match self.open(host, &statement.id, deadline, context).await {
             Ok(opened) => opened,
             Err(outcome) => return CompletedAttempt::without_answer(outcome),
         };
         let extra_ms = if mutants::on("patience grows") { 1_000 } else { 0 };
         let patience_ms = deadline.saturating_sub(start.checked_at).div_ceil(1_000).max(1) + extra_ms;
-        let mut query = Vec::new();
-        pg::put_query(&mut query, &statement.with_deadline(patience_ms));
         // The statement's head holds the time that is left. The last byte must not be written once that is outdated.
         // Without its last byte nothing of the statement has run.
         let write_deadline = self.core.clock.instant(invariants::write_deadline(start.checked_at));
-        match timeout_at(deadline_instant.min(write_deadline), attempt.connection.stream.write_all(&query))
-            .await
-        {
+        let write = attempt.write_query(statement, patience_ms);
+        match timeout_at(deadline_instant.min(write_deadline), write).await {
             Some(Ok(())) => on_written(),
             Some(Err(_)) | None => return CompletedAttempt::without_answer(Outcome::ConnectFailed),
         }
         self.check_started(&attempt, &start, &statement.id, patience_ms * 1_000, deadline);
         if statement.is_plain() {
-            return self.read_plain_answer(attempt, deadline, writes).await;
+            return self.read_plain_answer(attempt, deadline, writes, memory).await;
         }
-        self.read_answer(attempt, deadline, partial).await
+        self.read_answer(attempt, deadline, partial, memory).await
     }
 
     /// Reports an invariant that a written attempt has broken, if any. `announced_time` is the time that the statement announces
@@ -344,17 +414,21 @@
         }
     }
 
-    /// Reads the answer to a plain statement: the complete answer if it fits into `MAX_PLAIN_ANSWER_BYTES`, otherwise its
-    /// beginning. Nothing is passed to the client before this returns, so that another attempt is still possible.
+    /// Reads the answer to a plain statement: the complete answer if it fits into `MAX_PLAIN_ANSWER_BYTES` and the memory,
+    /// otherwise its beginning. Nothing is passed to the client before this returns, so that another attempt is still possible.
     async fn read_plain_answer(
-        &self, attempt: AttemptConnection, deadline: Micros, writes: bool,
+        &self, attempt: AttemptConnection, deadline: Micros, writes: bool, memory: &AnswerMemory,
     ) -> CompletedAttempt {
         let mut answer = StreamedAnswer::new(attempt);
         let mut held = Vec::new();
         let read_held = async {
+            let mut max_bytes = memory.buffer_bytes();
             loop {
-                match answer.read_step(&mut held, MAX_PLAIN_ANSWER_BYTES).await {
-                    Ok(AnswerStep::Progress) if held.len() < MAX_PLAIN_ANSWER_BYTES => {}
+                match answer.read_step(&mut held, max_bytes, memory).await {
+                    Ok(AnswerStep::Progress) if held.len() < max_bytes => {}
+                    Ok(AnswerStep::Progress) if max_bytes < max_plain_bytes(memory) => {
+                        max_bytes = max_plain_bytes(memory);
+                    }
                     other => return other,
                 }
             }
@@ -388,7 +462,7 @@
                 // The session continues after the error if the host soon reports that it is ready.
                 let ready = async {
                     loop {
-                        match answer.read_step(&mut held, MAX_PLAIN_ANSWER_BYTES).await {
+                        match answer.read_step(&mut held, MAX_PLAIN_ANSWER_BYTES, memory).await {
                             Ok(AnswerStep::Progress) => {}
                             other => return matches!(other, Ok(AnswerStep::Complete)),
                         }
@@ -471,6 +545,7 @@
     /// is still used as one.
     pub async fn read_answer(
         &self, mut attempt: AttemptConnection, deadline: Micros, partial: &Cell<HostReport>,
+        memory: &AnswerMemory,
     ) -> CompletedAttempt {
         let max_wait = if mutants::on("an attempt is left behind") { 50_000 } else { Micros::MAX };
         let deadline = deadline.min(self.core.clock.now().saturating_add(max_wait));
@@ -481,9 +556,8 @@
                 self.core.partial_answer(host, partial.get());
             }
         };
-        match timeout_at(self.core.clock.instant(deadline), attempt.connection.read_answer(partial, on_wait))
-            .await
-        {
+        let answer = attempt.connection.read_answer(partial, memory, on_wait);
+        match timeout_at(self.core.clock.instant(deadline), answer).await {
             Some(Answer::Complete(completed, reusable)) => {
                 if reusable {
                     self.return_to_pool(attempt.host, attempt.connection);
@@ -556,7 +630,9 @@
             pg::put_query(&mut query, "SHOW usage");
             connection.stream.write_all(&query).await.ok()?;
             let partial = Cell::default();
-            let Answer::Complete(completed, reusable) = connection.read_answer(&partial, || {}).await else {
+            let memory = AnswerMemory::buffer_only(self.buffer_bytes);
+            let answer = connection.read_answer(&partial, &memory, || {}).await;
+            let Answer::Complete(completed, reusable) = answer else {
                 return None;
             };
             if reusable {
@@ -610,7 +686,7 @@
         };
         // A lack of descriptors in this process says nothing about the host's health.
         let permit = self.acquire_permit().ok_or(Outcome::NotSent)?;
-        Connection::connect(address, permit, &self.startup, shortage).await
+        Connection::connect(address, permit, &self.startup, self.buffer_bytes, shortage).await
     }
 
     /// Acquires a permit for one more connection. If the limit is reached, the connection that has been idle for longest is
--- a/src/net/hosts/connection.rs
+++ b/src/net/hosts/connection.rs
@@ -5,9 +5,10 @@
 use super::{StreamedAnswer, StreamedValue};
 use crate::mutants;
 use crate::net::core::Clock;
+use crate::net::memory::AnswerMemory;
 use crate::net::world::{self, Stream};
 use crate::net::{read_into, timeout_at, warn_rate_limited};
-use crate::pg::{self, Backend, Column, ErrorFields, ReadBuffer, Row, code};
+use crate::pg::{self, Backend, Column, Decoded, ErrorFields, ReadBuffer, Row, code};
 use crate::{HostReport, Outcome, Role};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -16,6 +17,8 @@
 
 /// How long to wait, after the end of an answer, for the host's message that it is ready for the next query.
 pub(super) const READY_TIMEOUT: Duration = Duration::from_millis(100);
+/// What follows a row in an answer: its tag and the report on its host. It is read with the row.
+const TRAILING_BYTES: usize = 1024;
 /// The wait before another connect after this machine lacked a resource for one.
 const SHORTAGE_WAIT: Duration = Duration::from_millis(10);
 
@@ -36,6 +39,8 @@
     pub(super) stream: Stream,
     pub(super) address: SocketAddr,
     pub(super) read_buffer: ReadBuffer,
+    /// How much is read of a message for which no memory is reserved.
+    pub(super) buffer_bytes: usize,
     /// When the connection was opened, or last returned to its pool.
     pub(super) idle_since: Instant,
     _permit: ConnectionPermit,
@@ -102,7 +107,8 @@
     /// Opens a connection and its session. Nothing of a request is written here, so the request has not run, whatever
     /// fails. While this machine lacks a resource for the connect, sets `shortage` and tries again.
     pub(super) async fn connect(
-        address: SocketAddr, permit: ConnectionPermit, startup: &[u8], shortage: &Cell<bool>,
+        address: SocketAddr, permit: ConnectionPermit, startup: &[u8], buffer_bytes: usize,
+        shortage: &Cell<bool>,
     ) -> Result<Connection, Outcome> {
         let stream = loop {
             match Stream::connect(address).await {
@@ -119,7 +125,8 @@
         stream.no_delay().map_err(|_| Outcome::ConnectFailed)?;
         stream.limit_receive_buffer();
         let (read_buffer, idle_since) = (ReadBuffer::default(), world::now());
-        let mut connection = Connection { stream, address, read_buffer, idle_since, _permit: permit };
+        let mut connection =
+            Connection { stream, address, read_buffer, buffer_bytes, idle_since, _permit: permit };
         connection.stream.write_all(startup).await.map_err(|_| Outcome::ConnectFailed)?;
         loop {
             match connection.message().await {
@@ -149,21 +156,27 @@
         self.stream.is_idle() && self.read_buffer.is_empty() && world::since(self.idle_since) < max_idle
     }
 
+    /// Reads the next message, which has to fit into the connection's own buffer.
     pub(super) async fn message(&mut self) -> Result<Backend, ReadError> {
-        self.message_before(None, || {}).await
+        let memory = AnswerMemory::buffer_only(self.buffer_bytes);
+        self.message_before(None, &memory, || {}).await
     }
 
-    /// Reads the next message, before the deadline if there is one. `on_wait` is called before each wait for more bytes.
+    /// Reads the next message, before the deadline if there is one. A row for which there is no memory becomes a long one,
+    /// whose value is not read. `on_wait` is called before each wait for more bytes.
     pub(super) async fn message_before(
-        &mut self, deadline: Option<Instant>, on_wait: impl Fn(),
+        &mut self, deadline: Option<Instant>, memory: &AnswerMemory, on_wait: impl Fn(),
     ) -> Result<Backend, ReadError> {
         loop {
-            match pg::decode_backend(&mut self.read_buffer) {
+            match self.decode_message() {
                 Ok(Some(message)) => return Ok(message),
                 Ok(None) => on_wait(),
                 Err(e) => return Err(ReadError::Protocol(e.0)),
             }
-            let read = read_into(&self.stream, &mut self.read_buffer);
+            let Some(max_bytes) = self.receive_room(memory) else {
+                return self.unbuffered_message();
+            };
+            let read = read_into(&self.stream, &mut self.read_buffer, max_bytes);
             let read = match deadline {
                 Some(deadline) => timeout_at(deadline, read).await.ok_or(ReadError::TimedOut)?,
                 None => read.await,
@@ -174,6 +187,29 @@
         }
     }
 
+    fn decode_message(&mut self) -> Decoded<Backend> {
+        pg::decode_backend(&mut self.read_buffer)
+    }
+
+    /// How much may be read: the rest of the message that has begun, with what may follow it. `None` if there is no memory
+    /// for the message.
+    pub(super) fn receive_room(&self, memory: &AnswerMemory) -> Option<usize> {
+        let held = self.read_buffer.len();
+        if let Some(message_bytes) = self.read_buffer.message_bytes().filter(|&b| b > self.buffer_bytes) {
+            let wanted = message_bytes + TRAILING_BYTES;
+            return memory.hold(wanted).then(|| wanted.saturating_sub(held).max(1));
+        }
+        Some(self.buffer_bytes.saturating_sub(held).max(1))
+    }
+
+    /// The message that has begun and for which there is no memory: a row whose value is streamed, or an error.
+    fn unbuffered_message(&mut self) -> Result<Backend, ReadError> {
+        let value_bytes = pg::decode_unbuffered_row(&mut self.read_buffer);
+        value_bytes
+            .map(Backend::LongRow)
+            .ok_or_else(|| ReadError::Protocol("there is no memory for a message of an answer".into()))
+    }
+
     /// Reads messages up to the next one that is not a parameter. Adds parameters to the report.
     pub(super) async fn next(&mut self, report: &mut HostReport) -> Option<Backend> {
         loop {
@@ -185,10 +221,12 @@
         }
     }
 
-    /// Reads the answer to the query that was written. `on_wait` is called before each wait for more bytes, and `partial`
+    /// Reads the answer to the query that was written, and holds it in `memory`. `on_wait` is called before each wait for more bytes, and `partial`
     /// holds what the answer has reported about the host so far. Once the answer is complete except for the message that
     /// the host is ready again, waits at most `READY_TIMEOUT` for that message.
-    pub(super) async fn read_answer(&mut self, partial: &Cell<HostReport>, on_wait: impl Fn()) -> Answer {
+    pub(super) async fn read_answer(
+        &mut self, partial: &Cell<HostReport>, memory: &AnswerMemory, on_wait: impl Fn(),
+    ) -> Answer {
         let (mut report, mut statement_error) = (HostReport::default(), None);
         let (mut column, mut value, mut row, mut error) = (None, None, None, None);
         let mut complete_since = None;
@@ -197,7 +235,7 @@
                 complete_since = Some(world::now()).filter(|_| !mutants::on("answers wait for readiness"));
             }
             let deadline = complete_since.map(|since| since + READY_TIMEOUT);
-            match self.message_before(deadline, &on_wait).await {
+            match self.message_before(deadline, memory, &on_wait).await {
                 Ok(Backend::ReadyForQuery) => break None,
                 Ok(Backend::ParameterStatus { name, value }) => {
                     apply_parameter(&mut report, &name, &value);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 //! - `endpoints`: plain configuration of the proxy's own sockets;
 //! - `backoff`: the delays between calls to discovery;
 //! - `listing`: the list of database hosts as a message;
+//! - `memory`: the memory that connections hold beyond their buffers;
 //! - `events`: counts and logs of closes, refusals, retries and broken invariants, by reason;
 //! - `core`: owns the decision module, the clock and the metrics;
 //! - `capture`: the record of load for the planner;
@@ -44,6 +45,7 @@
 pub mod host_overrides;
 pub mod hosts;
 pub mod listing;
+pub mod memory;
 pub mod override_files;
 pub mod peers;
 pub mod pipeline;
@@ -80,6 +82,9 @@
     pub clients: usize,
     /// Bytes received from clients and held in memory.
     pub bytes: usize,
+    /// Bytes of answers that their clients have not read yet. 0 from a process whose version does not send it.
+    #[serde(default)]
+    pub answer_bytes: usize,
     /// Open connections to database hosts.
     pub hosts: usize,
 }
@@ -91,6 +96,7 @@
             ready: self.ready || other.ready,
             clients: self.clients.saturating_add(other.clients),
             bytes: self.bytes.saturating_add(other.bytes),
+            answer_bytes: self.answer_bytes.saturating_add(other.answer_bytes),
             hosts: self.hosts.saturating_add(other.hosts),
         }
     }
@@ -119,9 +125,9 @@
     }
 }
 
-/// Waits for bytes and puts them into the read buffer. Returns 0 at the end of the connection.
-async fn read_into(stream: &Stream, read_buffer: &mut ReadBuffer) -> io::Result<usize> {
-    stream.read_with(|bytes| read_buffer.append(bytes)).await
+/// Waits for bytes and puts at most `max_bytes` of them into the read buffer. Returns 0 at the end of the connection.
+async fn read_into(stream: &Stream, read_buffer: &mut ReadBuffer, max_bytes: usize) -> io::Result<usize> {
+    stream.read_at_most(max_bytes, |bytes| read_buffer.append(bytes)).await
 }
 
 /// Returns the future's result, or `None` once the deadline has passed. The future is then dropped.
--- a/src/net/pipeline.rs
+++ b/src/net/pipeline.rs
@@ -1,16 +1,19 @@
 //! The requests of one connection that were read behind another, in their order. The pipeline serves them, and keeps their
 //! answers until their turn. It must never read or write a connection, nor choose a host.
 //!
-//! A request starts as soon as it doesn't depend on an unanswered one before it: two writes, or a write and another request
+//! A request starts as soon as there is memory for its answer and it doesn't depend on an unanswered one before it: two writes, or a write and another request
 //! of the same group, run one after the other; all others run at the same time.
 
 use super::admission::IdClaim;
 use super::client_connection::AbandonReason;
+use super::memory::{AnswerMemory, Reservation};
 use super::request::{ClientWatch, PendingAnswer};
 use crate::GroupId;
+use crate::pg;
 use std::collections::VecDeque;
 use std::future::{self, Future};
 use std::pin::{Pin, pin};
+use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
 /// What the order of a request among others depends on.
@@ -48,9 +51,18 @@
     pub claim: IdClaim<'a>,
     /// The size of its statement.
     pub bytes: usize,
+    pub memory: EntryMemory,
     pub progress: Progress<'a>,
 }
 
+/// The memory of a pipelined request.
+pub struct EntryMemory {
+    /// For the request itself, until it is answered.
+    pub request: Reservation,
+    /// For its answer, before the request starts and until the answer is written.
+    pub answer: Rc<AnswerMemory>,
+}
+
 impl PipelineEntry<'_> {
     fn is_answered(&self) -> bool {
         matches!(self.progress, Progress::Answered(_))
@@ -68,11 +80,13 @@
     /// Polls the request if it has started or may start.
     fn poll(&mut self, may_start: bool, context: &mut Context<'_>) {
         let Progress::Unanswered { serving, started } = &mut self.progress else { return };
-        if !*started && !may_start {
+        *started = *started || may_start && self.memory.answer.reserve(pg::MAX_BUFFERED_ANSWER_BYTES);
+        if !*started {
             return;
         }
-        *started = true;
         if let Poll::Ready(answer) = serving.as_mut().poll(context) {
+            self.memory.answer.shrink_to(answer.as_ref().map_or(0, PendingAnswer::held_bytes));
+            self.memory.request.shrink_to(0);
             self.progress = Progress::Answered(answer);
         }
     }
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -7,6 +7,7 @@
 use super::console::Console;
 use super::core::Core;
 use super::hosts::Hosts;
+use super::memory::ClientMemory;
 use super::peers::Peers;
 use super::statements::Statements;
 use super::upgrade::Upgrade;
@@ -61,11 +62,13 @@
             Core::new(config.settings.clone(), config.program_settings.clone(), config.seed);
         let core = Rc::new(core);
         let (user, database) = (&file.hosts.user, &file.hosts.database);
-        let hosts = Hosts::new(core.clone(), config.max_host_connections, drain_grace, user, database);
+        let memory = ClientMemory::new(&config.memory_plan);
+        let (max_connections, buffer_bytes) =
+            (config.max_host_connections, config.memory_plan.host_buffer_bytes);
+        let hosts = Hosts::new(core.clone(), max_connections, buffer_bytes, drain_grace, user, database);
         let hosts = Rc::new(hosts);
         let max_clients = config.max_clients;
-        let max_client_bytes = config.max_client_bytes;
-        let admission = Admission::new(core.clone(), max_clients, max_client_bytes, executor.clone());
+        let admission = Admission::new(core.clone(), max_clients, memory, executor.clone());
         let clients =
             Clients::new(core.clone(), hosts.clone(), admission, config.response_margin, executor.clone());
         let clients = Rc::new(clients);
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -9,6 +9,7 @@
 use super::hosts::{
     ApprovedStart, AttemptConnection, AttemptContext, CompletedAttempt, Hosts, StreamedAnswer, StreamedValue,
 };
+use super::memory::AnswerMemory;
 use super::statements::PlainRoute;
 use super::world::{self, Stream};
 use crate::invariants::{self, Violation};
@@ -25,7 +26,9 @@
 use std::time::{Duration, Instant};
 
 /// The size of the pieces in which a truncated value is padded to its length.
-const PADDING_BYTES: usize = 32 * 1024;
+const PADDING_BYTES: usize = 4 * 1024;
+/// The length of an error message of the proxy's own, rounded up.
+const SHORT_ERROR_BYTES: usize = 128;
 /// A client that announces a longer wait counts as waiting this long.
 const MAX_PATIENCE_MS: u64 = 60_000;
 
@@ -45,6 +48,19 @@
     Rejected(ErrorFields),
 }
 
+impl FinalAnswer {
+    /// The bytes of memory that the answer holds, or takes as messages if that is more.
+    pub fn held_bytes(&self) -> usize {
+        match self {
+            FinalAnswer::Served(row) => row.held_bytes(),
+            FinalAnswer::Plain(bytes) => bytes.capacity(),
+            FinalAnswer::Rejected(fields) => fields.held_bytes(),
+            FinalAnswer::Refused { .. } | FinalAnswer::Failed => SHORT_ERROR_BYTES,
+            FinalAnswer::Streamed => 0,
+        }
+    }
+}
+
 /// The answer to a request, until its turn on the connection comes.
 pub enum PendingAnswer {
     Complete(FinalAnswer),
@@ -55,17 +71,12 @@
 }
 
 impl PendingAnswer {
-    /// The bytes of memory that the answer holds.
+    /// The bytes of memory that the answer holds, or takes as messages if that is more.
     pub fn held_bytes(&self) -> usize {
         match self {
-            PendingAnswer::Complete(FinalAnswer::Served(row)) => row.value.as_ref().map_or(0, Vec::len),
-            PendingAnswer::Complete(FinalAnswer::Plain(bytes)) => bytes.len(),
-            PendingAnswer::Complete(FinalAnswer::Rejected(fields)) => fields.raw.len(),
-            PendingAnswer::Complete(
-                FinalAnswer::Streamed | FinalAnswer::Refused { .. } | FinalAnswer::Failed,
-            ) => 0,
-            // The bytes received so far are in the buffers of the hosts' connections.
-            PendingAnswer::StreamedRow(_) | PendingAnswer::StreamedResult(_) => 0,
+            PendingAnswer::Complete(answer) => answer.held_bytes(),
+            PendingAnswer::StreamedRow(value) => value.buffered_bytes(),
+            PendingAnswer::StreamedResult(answer) => answer.buffered_bytes(),
         }
     }
 }
@@ -185,6 +196,8 @@
     pub core: &'l Rc<Core>,
     pub hosts: &'l Rc<Hosts>,
     pub admission: &'l Rc<Admission>,
+    /// The memory in which the answer is held.
+    pub memory: &'l AnswerMemory,
     /// The time taken off the client's deadline for sending the answer back.
     pub response_margin: Micros,
     /// The commit position that the last answer reported, and how long the attempt took; of plain statements only.
@@ -305,7 +318,8 @@
                     deadline,
                     start_conditions,
                     on_written,
-                    &partial_report
+                    &partial_report,
+                    self.memory
                 ));
                 self.until_attempt_event(attempt, &handle).await
             };
@@ -320,7 +334,7 @@
                 let give_up_at = give_up_at(statement, core.clock.now(), self.response_margin);
                 on_written();
                 handle.complete(give_up_at);
-                let answer = pin!(hosts.read_answer(opened, give_up_at, &partial_report));
+                let answer = pin!(hosts.read_answer(opened, give_up_at, &partial_report, self.memory));
                 event = self.until_attempt_event(answer, &handle).await;
             }
             let outcome = event.outcome();
@@ -578,12 +592,13 @@
 /// Streams a value to the client as fast as the client reads it.
 pub async fn stream_value(
     connection: &mut ClientConnection<'_>, hosts: &Hosts, mut value: Box<StreamedValue>,
+    memory: &AnswerMemory,
 ) -> StreamResult {
     let length_before = connection.out.len();
     pg::put_long_row(&mut connection.out, &value.column, value.value_bytes);
     let mut any_sent = false;
     loop {
-        match value.read_piece(&mut connection.out).await {
+        match value.read_piece(&mut connection.out, memory).await {
             Ok(0) => break,
             Ok(_) => {}
             Err(_) if any_sent => return StreamResult::BrokenOff { missing: value.remaining_bytes() },
@@ -622,10 +637,11 @@
 /// reports, if any; the outer `None` means that the host broke off the answer, or that writing to the client failed.
 pub async fn stream_plain_answer(
     connection: &mut ClientConnection<'_>, hosts: &Hosts, mut answer: Box<StreamedAnswer>,
+    memory: &AnswerMemory,
 ) -> Option<Option<Micros>> {
-    connection.out.append(&mut answer.beginning);
+    connection.put_bytes(std::mem::take(&mut answer.beginning));
     connection.flush().await.ok()?;
-    while answer.read_piece(&mut connection.out).await.ok()? {
+    while answer.read_piece(&mut connection.out, memory).await.ok()? {
         connection.flush().await.ok()?;
     }
     let position = answer.report.position;
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -355,9 +355,15 @@
 
     /// What this process holds, together with all others except the one of this connection.
     fn held_except(&self, number: u64) -> ResourceUsage {
-        let (clients, bytes) = self.admission.usage();
+        let clients = self.admission.usage();
         let ready = self.admission.not_ready_reason().is_none();
-        let own = ResourceUsage { ready, clients, bytes, hosts: self.hosts.open_connections() };
+        let own = ResourceUsage {
+            ready,
+            clients: clients.connections,
+            bytes: clients.received_bytes,
+            answer_bytes: clients.answer_bytes,
+            hosts: self.hosts.open_connections(),
+        };
         let others = self.others.borrow();
         others
             .iter()
--- a/src/net/world.rs
+++ b/src/net/world.rs
@@ -27,7 +27,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The maximum length of one read.
-const READ_BYTES: usize = 32 * 1024;
+pub const READ_BYTES: usize = 32 * 1024;
 /// The maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
 /// The size of a socket buffer, on the side where a long value accumulates.
@@ -307,12 +307,19 @@
 
     /// Waits for bytes, passes them to `take` and returns their number, 0 at the end of the connection.
     #[inline]
-    pub async fn read_with(&self, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+    pub async fn read_with(&self, take: impl FnMut(&[u8])) -> io::Result<usize> {
+        self.read_at_most(READ_BYTES, take).await
+    }
+
+    /// The same, with at most `max_bytes` bytes; the others stay in the socket.
+    #[inline]
+    pub async fn read_at_most(&self, max_bytes: usize, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+        debug_assert!(max_bytes > 0, "a read of nothing looks like the end of the connection");
         match self {
-            Stream::Tcp(s) => s.read_with(|s| read_once(s, &mut take)).await,
-            Stream::Unix(s) => s.read_with(|s| read_once(s, &mut take)).await,
+            Stream::Tcp(s) => s.read_with(|s| read_once(s, max_bytes, &mut take)).await,
+            Stream::Unix(s) => s.read_with(|s| read_once(s, max_bytes, &mut take)).await,
             Stream::Simulated(connection) => {
-                let mut buffer = vec![0; READ_BYTES];
+                let mut buffer = vec![0; max_bytes.min(READ_BYTES)];
                 let n = poll_fn(|cx| poll_uninterrupted(|| connection.poll_read(cx, &mut buffer))).await?;
                 take(&buffer[..n]);
                 Ok(n)
@@ -332,6 +339,15 @@
         }
     }
 
+    /// Waits until the socket takes more than a little: a third of its send buffer is free.
+    pub async fn until_writable(&self) -> io::Result<()> {
+        match self {
+            Stream::Tcp(s) => s.writable().await,
+            Stream::Unix(s) => s.writable().await,
+            Stream::Simulated(_) => Ok(()),
+        }
+    }
+
     #[inline]
     pub async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
@@ -399,10 +415,10 @@
     }
 }
 
-/// One read into the shared buffer. Passes the bytes to `take`.
-fn read_once(mut from: impl Read, take: &mut impl FnMut(&[u8])) -> io::Result<usize> {
+/// One read of at most `max_bytes` into the shared buffer. Passes the bytes to `take`.
+fn read_once(mut from: impl Read, max_bytes: usize, take: &mut impl FnMut(&[u8])) -> io::Result<usize> {
     READ_BUFFER.with_borrow_mut(|buffer| {
-        let max_bytes = faults::limit_length(buffer.len());
+        let max_bytes = faults::limit_length(buffer.len().min(max_bytes));
         let n =
             uninterrupted(|| faults::before(Call::Read).and_then(|()| from.read(&mut buffer[..max_bytes])))?;
         take(&buffer[..n]);
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -3,25 +3,35 @@
 //! leading comment of a statement, which holds the terms of the request. It must not do I/O, nor decide what an answer
 //! means for a request.
 
-use std::borrow::Cow;
-
 /// The longest message that is buffered until it is complete: a statement with a value of 64 KiB as hexadecimal text.
 pub const MAX_MESSAGE_BYTES: usize = 160 * 1024;
 /// The longest value in a database host's answer to a request with a comment.
 const MAX_VALUE_BYTES: i64 = 4 << 20;
 /// The longest value that is buffered until it is complete; a longer one is streamed.
 const MAX_BUFFERED_VALUE_BYTES: i64 = 64 << 10;
+/// What an answer holds besides its value: the messages around it, and the buffers' rounding.
+const ANSWER_OVERHEAD_BYTES: usize = 8 * 1024;
+/// The most memory that an answer needs which isn't streamed.
+pub const MAX_BUFFERED_ANSWER_BYTES: usize = MAX_BUFFERED_VALUE_BYTES as usize + ANSWER_OVERHEAD_BYTES;
+/// The byte behind a text in a message.
+pub const TEXT_END: u8 = 0;
+/// The type and the length of a message, which begin it.
+pub const MESSAGE_HEAD_BYTES: usize = 5;
 /// The longest statement: the longest value as hexadecimal text, and `MAX_MESSAGE_BYTES` around it. A statement beyond
 /// `MAX_MESSAGE_BYTES` is streamed.
 const MAX_STATEMENT_BYTES: usize = 2 * MAX_VALUE_BYTES as usize + MAX_MESSAGE_BYTES;
 /// The beginning of a streamed statement that is decoded; it must hold what names class, group and key.
-const STATEMENT_HEAD_BYTES: usize = 4 * 1024;
+pub const STATEMENT_HEAD_BYTES: usize = 4 * 1024;
 /// The longest message of a database host that is not a row.
 const MAX_NON_ROW_BYTES: i64 = 16 * 1024;
 /// The memory that a `ReadBuffer` keeps when it becomes empty.
 const KEPT_BUFFER_BYTES: usize = 4 * 1024;
+/// The bytes of the messages of a one-row result besides its value, name and tag, rounded up.
+const ROW_FRAME_BYTES: usize = 64;
+/// The step in which a larger buffer grows.
+const BUFFER_STEP_BYTES: usize = 4 * 1024;
 /// The longest startup packet, the same limit as in PostgreSQL.
-const MAX_STARTUP_BYTES: usize = 10_000;
+pub const MAX_STARTUP_BYTES: usize = 10_000;
 
 /// The SQLSTATE codes that the proxy sends or checks.
 pub mod code {
@@ -78,7 +88,7 @@
 pub struct Malformed(pub String);
 
 /// A decoded message; `None` as long as it is not complete.
-type Decoded<T> = Result<Option<T>, Malformed>;
+pub type Decoded<T> = Result<Option<T>, Malformed>;
 
 fn malformed<T>(reason: impl Into<String>) -> Result<T, Malformed> {
     Err(Malformed(reason.into()))
@@ -96,9 +106,23 @@
 impl ReadBuffer {
     /// Adds received bytes.
     pub fn append(&mut self, bytes: &[u8]) {
+        self.compact();
+        reserve_in_steps(&mut self.bytes, bytes.len());
+        self.bytes.extend_from_slice(bytes);
+    }
+    /// Removes the decoded bytes, and frees the memory that the rest doesn't need.
+    pub fn compact(&mut self) {
         self.bytes.drain(..self.consumed);
         self.consumed = 0;
-        self.bytes.extend_from_slice(bytes);
+        if self.bytes.capacity() > KEPT_BUFFER_BYTES {
+            self.bytes.shrink_to(self.bytes.len().next_multiple_of(BUFFER_STEP_BYTES).max(KEPT_BUFFER_BYTES));
+        }
+    }
+    /// The length of the next message with its head, as far as the head has arrived. A head that is not valid is for the
+    /// decoder to reject.
+    pub fn message_bytes(&self) -> Option<usize> {
+        let [_, length @ ..] = self.rest().first_chunk::<MESSAGE_HEAD_BYTES>()?;
+        usize::try_from(i32::from_be_bytes(*length)).ok().map(|length| 1 + length)
     }
     /// The number of bytes that are not decoded yet.
     pub fn len(&self) -> usize {
@@ -111,6 +135,7 @@
     /// Moves at most `limit` bytes unchanged to the end of `out`, and returns their number.
     pub fn move_to(&mut self, out: &mut Vec<u8>, limit: usize) -> usize {
         let n = self.len().min(limit);
+        reserve_in_steps(out, n);
         out.extend_from_slice(&self.rest()[..n]);
         self.consume(n);
         n
@@ -133,18 +158,26 @@
     fn rest(&self) -> &[u8] {
         &self.bytes[self.consumed..]
     }
-    /// Marks `n` bytes as decoded. Once all are, a large buffer is shrunk; otherwise each connection would keep the memory
+    /// Marks `n` bytes as decoded. Once most are, a large buffer is shrunk; otherwise each connection would keep the memory
     /// of its longest message.
     fn consume(&mut self, n: usize) {
         self.consumed += n;
-        if self.is_empty() {
-            self.consumed = 0;
-            self.bytes.clear();
-            self.bytes.shrink_to(KEPT_BUFFER_BYTES);
+        let is_mostly_consumed = self.consumed >= KEPT_BUFFER_BYTES && self.consumed >= self.len();
+        if self.is_empty() || is_mostly_consumed {
+            self.compact();
         }
     }
 }
 
+/// Makes room for `additional` bytes. A large buffer grows in steps: doubling it could take twice the memory that is
+/// reserved for its contents.
+pub fn reserve_in_steps(buffer: &mut Vec<u8>, additional: usize) {
+    let needed = buffer.len() + additional;
+    if needed > KEPT_BUFFER_BYTES && needed > buffer.capacity() {
+        buffer.reserve_exact(needed.next_multiple_of(BUFFER_STEP_BYTES) - buffer.len());
+    }
+}
+
 /// A client's packet before its session begins.
 #[derive(Debug, PartialEq)]
 pub enum Startup {
@@ -221,6 +254,13 @@
     pub raw: Vec<u8>,
 }
 
+impl ErrorFields {
+    /// The bytes that the fields take as a message, or a little more.
+    pub fn held_bytes(&self) -> usize {
+        self.code.len() + self.message.len() + self.raw.len() + ROW_FRAME_BYTES
+    }
+}
+
 /// A result of one row with one column.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Row {
@@ -231,12 +271,20 @@
     pub tag: String,
 }
 
+impl Row {
+    /// The bytes that the row takes as messages, or a little more.
+    pub fn held_bytes(&self) -> usize {
+        let value_bytes = self.value.as_ref().map_or(0, Vec::len);
+        value_bytes + self.column.name.len() + self.tag.len() + ROW_FRAME_BYTES
+    }
+}
+
 /// The longest row in an answer to a plain statement: 1 GiB.
 const MAX_PLAIN_ROW_BYTES: usize = 1 << 30;
 /// The longest message that describes or ends a result in an answer to a plain statement.
 const MAX_PLAIN_NON_ROW_BYTES: usize = 1 << 20;
 /// The longest message of such an answer that the proxy decodes, and so buffers until it is complete.
-const MAX_PLAIN_DECODED_BYTES: usize = 64 * 1024;
+pub const MAX_PLAIN_DECODED_BYTES: usize = 64 * 1024;
 
 /// Forwards the answer to a plain statement. It decodes the type and length of each message; the contents are forwarded
 /// as they arrive, so that no row is buffered.
@@ -469,6 +517,17 @@
     (MAX_MESSAGE_BYTES + 1..=MAX_STATEMENT_BYTES).contains(&len).then_some(len)
 }
 
+/// Decodes the beginning of a statement that there is no memory to hold, so that the rest is streamed. `None` if the next
+/// message is no statement, or not enough of it has arrived.
+pub fn decode_unbuffered_query(input: &mut ReadBuffer) -> Option<Frontend> {
+    let message_bytes = input.message_bytes().filter(|&bytes| bytes <= 1 + MAX_MESSAGE_BYTES)?;
+    let is_longer_than_its_head = message_bytes > MESSAGE_HEAD_BYTES + STATEMENT_HEAD_BYTES;
+    if input.rest().first() != Some(&b'Q') || !is_longer_than_its_head {
+        return None;
+    }
+    decode_long_query(input, message_bytes - 1)
+}
+
 /// Decodes the beginning of a streamed statement, up to the end of a character, once it has arrived.
 fn decode_long_query(input: &mut ReadBuffer, len: usize) -> Option<Frontend> {
     let head = input.rest().get(5..5 + STATEMENT_HEAD_BYTES)?;
@@ -510,6 +569,15 @@
     Ok(())
 }
 
+/// Decodes the head of a row that there is no memory to hold, so that its value is streamed. Returns the value's length;
+/// `None` if the next message is no row of one value, or its head has not arrived.
+pub fn decode_unbuffered_row(input: &mut ReadBuffer) -> Option<usize> {
+    let Some(&[b'D', _, _, _, _, 0, 1, a, b, c, d]) = input.rest().first_chunk::<11>() else { return None };
+    let value_bytes = usize::try_from(i32::from_be_bytes([a, b, c, d])).ok()?;
+    input.consume(11);
+    Some(value_bytes)
+}
+
 /// Decodes the next message of a database host.
 pub fn decode_backend(input: &mut ReadBuffer) -> Decoded<Backend> {
     check_backend_head(input.rest())?;
@@ -621,6 +689,23 @@
     put_message(out, b'Q', |body| put_text(body, statement));
 }
 
+/// Appends the message of a statement up to the value of `d`, which becomes `deadline_ms`. Returns the rest of the text,
+/// which the caller writes, and `TEXT_END` behind it.
+pub fn put_query_head<'s>(out: &mut Vec<u8>, statement: &'s Statement, deadline_ms: u64) -> &'s [u8] {
+    let text = statement.text();
+    let value = deadline_ms.to_string();
+    let (beginning, value, rest) = match &statement.deadline_range {
+        Some(range) => (&text[..range.start], value.as_str(), &text[range.end..]),
+        None => ("", "", text),
+    };
+    let text_bytes = beginning.len() + value.len() + rest.len() + 1;
+    out.push(b'Q');
+    out.extend(((4 + text_bytes) as u32).to_be_bytes());
+    out.extend_from_slice(beginning.as_bytes());
+    out.extend_from_slice(value.as_bytes());
+    rest.as_bytes()
+}
+
 /// Appends NegotiateProtocolVersion, the answer to a client with a newer minor version or with protocol options: the
 /// proxy speaks 3.0 and supports none of the options.
 pub fn put_negotiate_protocol_version(out: &mut Vec<u8>, options: &[String]) {
@@ -698,6 +783,7 @@
 
 /// Appends a result of one row: RowDescription, DataRow and CommandComplete.
 pub fn put_row(out: &mut Vec<u8>, row: &Row) {
+    reserve_in_steps(out, row.held_bytes());
     put_row_description(out, &row.column);
     put_message(out, b'D', |body| {
         body.extend(1i16.to_be_bytes());
@@ -843,14 +929,6 @@
         &self.text
     }
 
-    /// The text with the value of `d` replaced; a plain statement is unchanged.
-    pub fn with_deadline(&self, ms: u64) -> Cow<'_, str> {
-        match &self.deadline_range {
-            Some(range) => format!("{}{ms}{}", &self.text[..range.start], &self.text[range.end..]).into(),
-            None => Cow::Borrowed(&self.text),
-        }
-    }
-
     /// The first quoted literal after the value of `d`, which names the session; empty if there is none.
     pub fn session_key(&self) -> &str {
         let start = self.deadline_range.as_ref().map_or(0, |range| range.end);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -909,9 +909,16 @@
     }
     /// The resident memory of the process in KB.
     pub fn memory_kb(&self) -> u64 {
+        self.status_kb("VmRSS:")
+    }
+    /// The most resident memory that the process has had, in KB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        self.status_kb("VmHWM:")
+    }
+    fn status_kb(&self, name: &str) -> u64 {
         let status =
             std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("the process runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a figure");
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("a figure");
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
     /// Replaces `from` by `to` in the configuration file, and sends SIGHUP.
