--- a/crates/lab/src/sim/client.rs
+++ b/crates/lab/src/sim/client.rs
@@ -274,6 +274,8 @@
 /// only not affect those of other clients.
 pub async fn run_misbehaving_client(fleet: Rc<Fleet>, target: Rc<Target>, until: Micros) {
     let w = fleet.world.clone();
+    // Longer than what a proxy holds without a reservation.
+    let half_of_a_long_query = [b"Q\0\0\x80\0".as_slice(), &[b'x'; 0x4000]].concat();
     while w.now() < until {
         let Ok(stream) = Stream::connect(target.address).await else {
             world::after(Duration::from_millis(100)).await;
@@ -283,7 +285,7 @@
         let parts: &[&[u8]] = match w.draw_below(5) {
             0 => &[&startup[..startup.len() / 2]],
             1 => &[&[0xff; 64]],
-            2 => &[&startup, b"Q\0\0\x01\0half"],
+            2 => &[&startup, &half_of_a_long_query],
             3 => &[&startup, b"\xfe\xff\xff\xff\xff\xff"],
             _ => &[&startup, b"Q\0\0\0\x0fSELECT 1;\0\0"],
         };
--- a/crates/lab/tests/mutants.rs
+++ b/crates/lab/tests/mutants.rs
@@ -217,6 +217,14 @@
     );
 }
 
+/// Clients send parts of long statements, for which memory is reserved.
+#[test]
+fn memory_that_stays_reserved_breaks_its_rule() {
+    let faults = vec![fault(1_000, 4_000, FaultKind::MisbehavingClients(0, 4))];
+    let plan = small_plan(13, Family::Wait, faults);
+    assert_rule_broken("reservations are kept", "everything is given back", &plan);
+}
+
 #[test]
 fn proxy_that_does_not_stop_breaks_its_rule() {
     let faults = vec![fault(2_000, 500, FaultKind::ProxyReplaced(0))];
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -93,6 +93,9 @@
 
     /// Returns bytes to the pool.
     fn release(&self, bytes: usize) {
+        if mutants::on("reservations are kept") {
+            return;
+        }
         self.held.set(self.held.get() - bytes);
         self.pool.held.set(self.pool.held.get() - bytes);
     }
@@ -213,9 +216,6 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        if mutants::on("reservations are kept") {
-            return;
-        }
         self.shrink_to(0);
     }
 }
