Leave requests unread behind a long statement instead of throwing them away

What callers saw: of four writes of 1 MiB behind one another the first was served, the second heard FATAL 53200, the third and fourth had no answer.

Cause: while an answer was waited for, `until_abandoned` read on in `ReadAheadMode::Discard`, and so did a session behind an open plain statement or a deferred request: beyond 1 MiB what came was thrown away, whatever it was. Now it stays unread, and the machine is asked for the client's end, as behind pipelined requests before; only behind an item that is no request it is still read, so that whoever sends on hears the error.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -521,11 +521,7 @@
             if !exclusive {
                 self.read_pipelined();
             }
-            let mode = if self.may_leave_unread(exclusive) {
-                ReadAheadMode::Bounded
-            } else {
-                ReadAheadMode::Discard
-            };
+            let mode = if self.may_leave_unread() { ReadAheadMode::Bounded } else { ReadAheadMode::Discard };
             match self.next_event(head.as_mut(), &scope, mode, just_read).await {
                 DriveEvent::Done(done) => return done,
                 DriveEvent::CheckConnection => just_read = false,
@@ -577,14 +573,16 @@
         .await
     }
 
-    /// Whether bytes beyond the read-ahead limits may stay unread: true where the bytes are pipelined requests, more than
-    /// may start at once, or a long statement.
-    fn may_leave_unread(&self, exclusive: bool) -> bool {
+    /// Whether bytes beyond the read-ahead limits may stay unread: true unless they come behind an item that is no request,
+    /// so that a client which sends on and on gets its error.
+    fn may_leave_unread(&self) -> bool {
         match &self.deferred {
-            _ if exclusive => false,
             None => true,
-            Some(NextItem::Message(message, ..)) => matches!(message, Frontend::LongQuery(..)),
-            Some(NextItem::Request(_) | NextItem::Malformed(_)) => false,
+            Some(NextItem::Message(message, ..)) => {
+                matches!(message, Frontend::Query(_) | Frontend::LongQuery(..))
+            }
+            Some(NextItem::Request(decoded)) => decoded.is_ok(),
+            Some(NextItem::Malformed(_)) => false,
         }
     }
 
--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -475,8 +475,7 @@
     }
 
     /// Returns once the open request is abandoned. With `reads`, what the client sends meanwhile is kept, up to
-    /// `MAX_READ_AHEAD_BYTES` and the connection's part of the memory. Bytes beyond are read and discarded, since the end of
-    /// the connection shows only behind them, and the session ends behind the answer.
+    /// `MAX_READ_AHEAD_BYTES` and the connection's part of the memory. Bytes beyond stay unread: they may be requests.
     pub async fn until_abandoned(&mut self, reads: bool) -> AbandonReason {
         if !reads {
             let cut_off = async {
@@ -490,7 +489,7 @@
             return future::or(disconnected, cut_off).await;
         }
         loop {
-            if let ReadAhead::Abandoned(reason) = self.read_ahead(ReadAheadMode::Discard).await {
+            if let ReadAhead::Abandoned(reason) = self.read_ahead(ReadAheadMode::Bounded).await {
                 return reason;
             }
             // Lets other tasks run while the client sends much.
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -296,6 +296,27 @@
     assert!(proxy.memory_kb() < 20_000, "{} KB", proxy.memory_kb());
 }
 
+/// Guards against a connection that ends over long writes behind one another: what was read behind the first one beyond the
+/// limit was discarded.
+#[test]
+fn long_writes_behind_one_another_are_all_answered() {
+    let gate = Gate::holding(&["1"]);
+    let host = host_echoing_ids(&gate);
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    let ids = ["1", "2", "3", "4"];
+    let padding = "x".repeat(2 << 20);
+    let all: Vec<u8> = ids.iter().flat_map(|id| query(&format!("{} -- {padding}", write(id)))).collect();
+    let mut sending = client.stream.try_clone().expect("clone");
+    let sender = thread::spawn(move || sending.write_all(&all));
+    assert_eq!(id_of(&host.next_query()), "1");
+    assert_eq!(proxy.client().query(&history("0")).value.as_deref(), Some("0"));
+    gate.release("1");
+    ids.iter().for_each(|id| assert_served(&mut client, id));
+    sender.join().expect("a thread").expect("all was sent");
+    assert!(proxy.memory_kb() < 20_000, "{} KB", proxy.memory_kb());
+}
+
 /// With statements of 150 KB, the limit on the bytes of a pipeline applies before that on its requests.
 #[test]
 fn the_bytes_of_pipelined_requests_are_limited() {
