Reject a long statement whose head is not UTF-8 instead of changing it

What callers saw: a statement of over 160 KB with a byte in its first 4 KB that is not UTF-8 was committed with U+FFFD in its place, and its client was served. Statements for which there is no memory take the same path since the memory for clients is reserved, so the fault would have come to shorter ones.

Cause: `decode_long_query` used `from_utf8_lossy`. Now the client hears 22021, as for a short statement, and the rest of the statement is skipped.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -388,6 +388,11 @@
                 self.connection.put_error(code::UNTRANSLATABLE, &e.0);
                 self.put_ready();
             }
+            Frontend::InvalidLong(e, remaining) => {
+                self.connection.put_error(code::UNTRANSLATABLE, &e.0);
+                self.put_ready();
+                return Box::pin(self.skip_statement(remaining)).await;
+            }
             Frontend::Query(text) if is_empty(&text) => return self.empty_query().await,
             Frontend::Query(text) if self.answer_in_refused_block(&text) => {}
             Frontend::Query(text) => {
@@ -579,7 +584,7 @@
         match &self.deferred {
             None => true,
             Some(NextItem::Message(message, ..)) => {
-                matches!(message, Frontend::Query(_) | Frontend::LongQuery(..))
+                matches!(message, Frontend::Query(_) | Frontend::LongQuery(..) | Frontend::InvalidLong(..))
             }
             Some(NextItem::Request(decoded)) => decoded.is_ok(),
             Some(NextItem::Malformed(_)) => false,
@@ -700,7 +705,11 @@
                 other => drop(self.serve_request(other).await?),
             }
         }
-        // Skips the rest of a statement that was answered before its end.
+        self.skip_statement(remaining).await
+    }
+
+    /// Skips the `remaining` bytes of a statement that was answered before its end; false if the connection has to end.
+    async fn skip_statement(&mut self, mut remaining: usize) -> io::Result<bool> {
         self.connection.flush().await?;
         while remaining > 0 {
             match self.connection.read_more().await? {
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -26,6 +26,8 @@
 const MAX_NON_ROW_BYTES: i64 = 16 * 1024;
 /// The memory that a `ReadBuffer` keeps when it becomes empty.
 const KEPT_BUFFER_BYTES: usize = 4 * 1024;
+/// What is wrong with a text that is not UTF-8.
+const NOT_UTF_8: &str = "a text is not UTF-8";
 /// The bytes of the messages of a one-row result besides its value, name and tag, rounded up.
 const ROW_FRAME_BYTES: usize = 64;
 /// The step in which a larger buffer grows.
@@ -199,6 +201,8 @@
     LongQuery(String, usize),
     /// A query whose text cannot be decoded. The session can continue, since the message's length is known.
     Invalid(Malformed),
+    /// The same for a streamed statement, with the number of bytes of its message that follow.
+    InvalidLong(Malformed, usize),
     Terminate,
     Sync,
     Flush,
@@ -418,7 +422,7 @@
         let Some(end) = self.0.iter().position(|&b| b == 0) else { return malformed("a text is not ended") };
         let text = self.take(end)?;
         self.take(1)?;
-        String::from_utf8(text.to_vec()).or_else(|_| malformed("a text is not UTF-8"))
+        String::from_utf8(text.to_vec()).or_else(|_| malformed(NOT_UTF_8))
     }
     /// Fails if bytes are left.
     fn end(&self) -> Result<(), Malformed> {
@@ -535,9 +539,13 @@
         Err(e) if e.error_len().is_none() => e.valid_up_to(),
         _ => head.len(),
     };
-    let text = String::from_utf8_lossy(&head[..end]).into_owned();
-    input.consume(5 + end);
-    Some(Frontend::LongQuery(text, len - 4 - end))
+    let text = String::from_utf8(head[..end].to_vec());
+    input.consume(MESSAGE_HEAD_BYTES + end);
+    let remaining = len - 4 - end;
+    Some(match text {
+        Ok(text) => Frontend::LongQuery(text, remaining),
+        Err(_) => Frontend::InvalidLong(Malformed(NOT_UTF_8.into()), remaining),
+    })
 }
 
 /// Checks the type and the length of a database host's message as far as they have arrived. Guards against waiting for
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -272,6 +272,27 @@
     assert_eq!((answer.code.as_str(), answer.end), ("08P01", End::Closed));
 }
 
+/// Guards against a write that is committed with other bytes than its client sent: the proxy put U+FFFD in place of a byte.
+#[test]
+fn a_long_statement_whose_head_is_not_utf_8_gets_an_error_and_reaches_no_host() {
+    let host = host_with_value("v");
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    let text = format!(
+        "/* id=1,c=ingest,d=9000,k=5c,cluster=3 */ INSERT INTO e VALUES ('7?', '{}')",
+        "ab".repeat(100_000)
+    );
+    let mut message = query(&text);
+    let position = message.iter().position(|&byte| byte == b'?').expect("a place for the byte");
+    message[position] = 0xe9;
+    client.send(&message);
+    let answer = client.answer();
+    assert_eq!((answer.code.as_str(), answer.end), ("22021", End::Ready));
+    // The session goes on behind the statement's last byte.
+    assert_eq!(client.query(&read("2", "history", 9000)).value.as_deref(), Some("v"));
+    assert!(host.next_query().contains("id=2,"));
+}
+
 #[test]
 fn a_long_value_that_breaks_off_closes_the_client_s_connection_and_is_not_retried() {
     let half = row(&"x".repeat(LONG_VALUE_BYTES))[..LONG_VALUE_BYTES / 2].to_vec();
