--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -177,6 +177,7 @@
             let ended_in_order = refused || session.run().await.is_ok();
             session.record_close();
             session.pipeline.abandon();
+            session.deferred = None;
             if ended_in_order && (!session.connection.evicted || clients.admission.move_to_refused(&mut slot))
             {
                 session.connection.linger().await;
@@ -598,7 +599,7 @@
             let message_bytes = self.connection.read_buffer.message_bytes().unwrap_or(0);
             // Without memory the request stays in the buffer until its turn.
             let wanted = message_bytes.min(pg::MAX_MESSAGE_BYTES) + PIPELINED_REQUEST_BYTES;
-            let Some(memory) = self.connection.memory.received.reserve(wanted) else { return };
+            let Some(mut memory) = self.connection.memory.received.reserve(wanted) else { return };
             let message = match pg::decode_frontend(&mut self.connection.read_buffer) {
                 Ok(Some(message)) => message,
                 Ok(None) => return,
@@ -625,7 +626,12 @@
                         other => Some(NextItem::Request(Box::new(other))),
                     }
                 }
-                other => Some(NextItem::Message(other, received_at, memory)),
+                other => {
+                    if !matches!(other, Frontend::Query(_)) {
+                        memory.shrink_to(pg::STATEMENT_HEAD_BYTES);
+                    }
+                    Some(NextItem::Message(other, received_at, memory))
+                }
             };
             self.update_request_bytes();
         }
--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -300,13 +300,14 @@
 
     /// Where the client reads slowly, waits until its socket takes a whole answer. Guards against an answer that holds memory,
     /// or a host's connection, for as long as the client takes to read the ones before. Ends too if the client
-    /// disconnects or reads nothing.
+    /// disconnects or reads nothing, and once the stop's time is over.
     pub async fn until_writable(&mut self) {
         if !std::mem::take(&mut self.write_blocked) {
             return;
         }
         let writable = async { drop(self.stream.until_writable().await) };
-        let waited = future::or(writable, self.until_hung_up());
+        let abandoned = future::or(self.until_hung_up(), self.admission.until_cut_off());
+        let waited = future::or(writable, abandoned);
         timeout_at(world::now() + WRITE_TIMEOUT, waited).await;
     }
 
