Keep a pipelined request in its pipeline until the answers before it are written

Cause: `Session::answer_next` took the next request out of the pipeline, then waited for the client to take the answers before it. Meanwhile the request was in no one's sight. Requests that have to follow it started; and if the client had gone, its future was dropped with an attempt out, whose end the decision module never heard, so that a place at the host stayed taken. Now the request is the pipeline's first until then. While a write's value is streamed the write counts as open too, since it is committed behind its value.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -474,8 +474,8 @@
             return Ok(false);
         }
         drop(claim);
-        while let Some(entry) = self.pipeline.pop() {
-            if !self.answer_next(entry).await? {
+        while !self.pipeline.is_empty() {
+            if !self.answer_next().await? {
                 return Ok(false);
             }
         }
@@ -483,17 +483,20 @@
     }
 
     /// Completes the pipelined request whose turn has come, and writes its answer; false if the connection has to end.
-    async fn answer_next(&mut self, entry: PipelineEntry<'a>) -> io::Result<bool> {
+    async fn answer_next(&mut self) -> io::Result<bool> {
+        // The request stays in the pipeline while earlier answers are written: those behind it wait for it, and it is
+        // withdrawn with them if the client has gone.
+        match self.pipeline.first_progress() {
+            Some(Progress::Unanswered { started: false, .. }) => self.flush_before_start().await?,
+            Some(Progress::Unanswered { started: true, .. }) => self.flush().await?,
+            Some(Progress::Answered(_)) | None => {}
+        }
+        let Some(entry) = self.pipeline.pop() else { return Ok(true) };
         let PipelineEntry { scope, claim, progress, memory, .. } = entry;
         let answer = match progress {
             Progress::Answered(answer) => answer,
-            Progress::Unanswered { mut serving, started } => {
+            Progress::Unanswered { mut serving, .. } => {
                 self.unanswered = true;
-                if started {
-                    self.flush().await?
-                } else {
-                    self.flush_before_start().await?
-                }
                 self.drive_head(serving.as_mut(), scope, false).await
             }
         };
@@ -505,14 +508,19 @@
 
     /// Writes the bytes that are due. Pipelined requests go on meanwhile.
     async fn flush(&mut self) -> io::Result<()> {
+        self.flush_while_open(None).await
+    }
+
+    /// The same while `head`, the request whose turn it is, may still be open.
+    async fn flush_while_open(&mut self, head: Option<&RequestScope>) -> io::Result<()> {
         self.update_request_bytes();
-        self.pipeline.run_alongside(self.connection.flush()).await
+        self.pipeline.run_alongside(head, self.connection.flush()).await
     }
 
     /// Writes the bytes that are due before the next request starts, and waits until its answer can be written as well.
     async fn flush_before_start(&mut self) -> io::Result<()> {
         self.flush().await?;
-        self.pipeline.run_alongside(self.connection.until_writable()).await;
+        self.pipeline.run_alongside(None, self.connection.until_writable()).await;
         Ok(())
     }
 
@@ -741,9 +749,11 @@
         }
         memory.shrink_to(answer.held_bytes());
         if self.connection.must_write_before(answer.held_bytes()) {
-            self.flush().await?;
+            // A write whose answer is streamed isn't committed yet.
+            let head = (!matches!(answer, PendingAnswer::Complete(_))).then_some(&scope);
+            self.flush_while_open(head).await?;
         }
-        let Some(answer) = self.stream_answer(answer, memory).await else {
+        let Some(answer) = self.stream_answer(answer, scope, memory).await else {
             self.connection.set_close_reason(CloseReason::ValueBrokenOff);
             return Ok(false);
         };
@@ -771,19 +781,23 @@
     }
 
     /// Streams an answer that isn't complete to the client, and returns what remains to be written. `None` if the answer
-    /// broke off and the connection has to end. Pipelined requests go on while a long row is streamed.
-    async fn stream_answer(&mut self, answer: PendingAnswer, memory: &AnswerMemory) -> Option<FinalAnswer> {
+    /// broke off and the connection has to end. Pipelined requests go on while a long row is streamed, but for those that
+    /// have to follow a write: it is committed behind its value.
+    async fn stream_answer(
+        &mut self, answer: PendingAnswer, scope: RequestScope, memory: &AnswerMemory,
+    ) -> Option<FinalAnswer> {
         let (connection, hosts) = (&mut self.connection, &self.clients.hosts);
         match answer {
             PendingAnswer::StreamedRow(long) => {
                 let streaming = Box::pin(stream_value(connection, hosts, long, memory));
-                match self.pipeline.run_alongside(streaming).await {
+                match self.pipeline.run_alongside(Some(&scope), streaming).await {
                     StreamResult::Complete => Some(FinalAnswer::Streamed),
                     StreamResult::NothingSent => Some(FinalAnswer::Failed),
                     StreamResult::BrokenOff { missing } if self.has_requests_behind() => {
                         // Closing the connection would tell the client more clearly that the value is not valid, but the
                         // requests behind this one would lose their answers.
-                        self.pipeline.run_alongside(pad_value(&mut self.connection, missing)).await.ok()?;
+                        let padding = pad_value(&mut self.connection, missing);
+                        self.pipeline.run_alongside(Some(&scope), padding).await.ok()?;
                         Some(FinalAnswer::Failed)
                     }
                     StreamResult::BrokenOff { .. } | StreamResult::ClientFailed => None,
--- a/src/net/pipeline.rs
+++ b/src/net/pipeline.rs
@@ -121,6 +121,11 @@
         self.entries.push_back(entry);
     }
 
+    /// The progress of the request whose turn comes next.
+    pub fn first_progress(&self) -> Option<&Progress<'a>> {
+        self.entries.front().map(|entry| &entry.progress)
+    }
+
     /// Removes the request whose turn comes next.
     pub fn pop(&mut self) -> Option<PipelineEntry<'a>> {
         let next = self.entries.pop_front();
@@ -149,8 +154,10 @@
         !earlier.any(|earlier| scope.must_follow(earlier))
     }
 
-    /// Runs `work` to its end, and polls the requests meanwhile.
-    pub async fn run_alongside<T>(&mut self, work: impl Future<Output = T>) -> T {
+    /// Runs `work` to its end, and polls the requests meanwhile. `head` is the request whose turn it is, if it is still open.
+    pub async fn run_alongside<T>(
+        &mut self, head: Option<&RequestScope>, work: impl Future<Output = T>,
+    ) -> T {
         if self.is_empty() {
             return work.await;
         }
@@ -160,7 +167,7 @@
                 return Poll::Ready(done);
             }
             self.watch.checked();
-            self.poll(None, context);
+            self.poll(head, context);
             if self.watch.needs_check() {
                 context.waker().wake_by_ref();
             }
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use std::collections::BTreeSet;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Instant;
@@ -296,6 +296,81 @@
     assert!(proxy.memory_kb() < 20_000, "{} KB", proxy.memory_kb());
 }
 
+/// Reads whose answers are more than the sockets hold, and then two writes of the same group.
+fn reads_and_two_writes(name: &str) -> Vec<u8> {
+    let reads = (0..15).map(|number| history(&format!("{name}r{number}")));
+    let writes = ["w1", "w2"].map(|number| write(&format!("{name}{number}")));
+    queries(&reads.chain(writes).collect::<Vec<_>>())
+}
+
+/// A host that answers reads with long values, and holds the writes back that are named.
+fn host_with_long_reads(gate: &Gate) -> Host {
+    let gate = gate.clone();
+    Host::start(move |_, text| {
+        let id = id_of(text);
+        gate.wait_until_released(&id);
+        Reply::Bytes(row(&if id.contains('r') { "v".repeat(60 << 10) } else { id }))
+    })
+}
+
+/// Guards against two writes of one client that run in the wrong order: the second one started while the answers before the
+/// first one were being written.
+#[test]
+fn writes_run_in_their_order_while_the_answers_before_them_are_written() {
+    const STEP_BYTES: usize = 16 << 10;
+    let gate = Gate::holding(&["w1"]);
+    let host = host_with_long_reads(&gate);
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    client.send(&reads_and_two_writes(""));
+    let mut reads: Vec<String> = (0..15).map(|number| format!("r{number}")).collect();
+    reads.sort();
+    assert_eq!(next_ids(&host, 15), reads);
+    // The client reads slowly, so that at each moment the answers before the writes may be in part written.
+    let mut step = vec![0; STEP_BYTES];
+    for _ in 0..15 * (60 << 10) / STEP_BYTES {
+        client.stream.read_exact(&mut step).expect("answers");
+        assert!(proxy.client().query("").empty);
+    }
+    assert_eq!(id_of(&host.next_query()), "w1");
+    assert_next_is_of_another_client(&proxy, &host, "9");
+    gate.release("w1");
+    assert_eq!(id_of(&host.next_query()), "w2");
+}
+
+/// Guards against writes that are refused for good: an attempt of a client that left while answers were written to it was
+/// never ended, and took a place at its host.
+#[test]
+fn clients_that_leave_while_answers_are_written_leave_no_attempt_behind() {
+    const CLIENTS: usize = 110;
+    const STEP_BYTES: usize = 8 << 10;
+    let first_read = |client: usize| format!("{client}first");
+    let held_write = |client: usize| format!("{client}w1");
+    let held: Vec<String> = (0..CLIENTS).flat_map(|c| [first_read(c), held_write(c)]).collect();
+    let gate = Gate::holding(&held.iter().map(String::as_str).collect::<Vec<_>>());
+    let (other_group, host) = (host_echoing_ids(&gate), host_with_long_reads(&gate));
+    let proxy = Proxy::start_with(&[&other_group, &host], 1024, |config| {
+        config.replacen(r#""group":3"#, r#""group":4"#, 1)
+    });
+    for number in 0..CLIENTS {
+        let mut client = proxy.client();
+        let first = history(&first_read(number)).replace("cluster=3", "cluster=4");
+        client.send(&[query(&first), reads_and_two_writes(&number.to_string())].concat());
+        // The write begins, and the answers before it wait for the first one.
+        while id_of(&host.next_query()) != held_write(number) {}
+        gate.release(&first_read(number));
+        // Each client reads a little more than the one before, and leaves.
+        client.stream.read_exact(&mut vec![0; number * STEP_BYTES]).expect("answers");
+        assert!(proxy.client().query("").empty);
+    }
+    for number in 0..30 {
+        let id = format!("x{number}");
+        let mut client = proxy.client();
+        client.send(&query(&write(&id)));
+        assert_served(&mut client, &id);
+    }
+}
+
 /// Guards against a connection that ends over long writes behind one another: what was read behind the first one beyond the
 /// limit was discarded.
 #[test]
