--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,7 +18,8 @@
 //! - `client_connection`: a client's connection;
 //! - `request`: one request from its arrival to its answer;
 //! - `pipeline`: the requests of a connection, answered in order;
-//! - `client`: clients' sessions;
+//! - `session`: one client's session;
+//! - `client`: accepts clients;
 //! - `override_files`: the files of manual overrides;
 //! - `host_overrides`: the manual overrides of one process;
 //! - `upgrade`: the exchange between processes that run side by side;
@@ -51,6 +52,7 @@
 pub mod pipeline;
 pub mod proxy;
 pub mod request;
+pub mod session;
 pub mod signals;
 pub mod statements;
 pub mod upgrade;
