--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -434,6 +434,27 @@
     assert!(broken.is_err(), "{broken:?}");
 }
 
+/// A message of a host.
+fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
+}
+
+/// Guards against a proxy that stands still: rows behind an error, more than are held, were neither read nor waited for.
+#[test]
+fn rows_that_a_host_sends_behind_an_error_are_dropped_and_stop_nothing() {
+    let fleet = fleet(OPERATOR, 0);
+    fleet.warm();
+    let row = [&[0, 1, 0, 0, 0x10, 0][..], &[b'x'; 0x1000]].concat();
+    let mut answer = message(b'E', b"SERROR\0C42P01\0Mno such table\0\0");
+    answer.extend(message(b'T', &[&b"\0\x01a\0"[..], &[0; 18]].concat()));
+    answer.extend(message(b'D', &row).repeat(50));
+    fleet.hosts.iter().for_each(|h| h.inject_fault(Fault::RawBytes(answer.clone())));
+    assert_eq!(fleet.ask("SELECT 1").code(), "42P01");
+    // Each host sends such an answer once.
+    let answered = (0..6).any(|_| fleet.ask("SELECT 1").value() == Some("ok"));
+    assert!(answered, "the proxy goes on");
+}
+
 #[test]
 fn a_host_connection_with_a_changed_session_is_not_reused() {
     let group = Group::new();
