Keep user and database of sessions that began before plain statements were on

What callers saw: plain statements were switched on by SIGHUP while a session was open, and its write was committed in the group of other customers.

Cause: `Session::startup` kept the names only where plain statements were served already. Now every session keeps them. As they are held for as long as a connection is open, they have 512 bytes together at most.

--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -34,6 +34,8 @@
 const PIPELINE_SHARE_DIVISOR: usize = 8;
 /// How many bytes the pipelined requests of one connection and their answers may hold before no more requests start.
 const MAX_PIPELINE_BYTES: usize = 1 << 20;
+/// The names of user and database have at most this length together. PostgreSQL's have 63 bytes each.
+const MAX_NAME_BYTES: usize = 512;
 /// The memory of a pipelined request besides its statement, until it is answered: the state of its serving, its copy of the
 /// statement's head and its entry at the core.
 const PIPELINED_REQUEST_BYTES: usize = 16 * 1024;
@@ -101,7 +103,7 @@
     deferred: Option<NextItem<'a>>,
     /// The request whose turn it is has no answer yet.
     unanswered: bool,
-    /// The user and the database of the startup message; kept only where plain statements are served.
+    /// The user and the database of the startup message. Plain statements may be switched on while the session is open.
     user_and_database: Option<Box<(String, String)>>,
     /// The writes of this session's plain statements, which its reads have to see.
     own_writes: OwnWrites,
@@ -858,7 +860,15 @@
                 Ok(Some(Startup::Encryption)) => self.connection.out.push(b'N'),
                 Ok(Some(Startup::Cancel)) => return Ok(false),
                 Ok(Some(Startup::Session { minor, options, user, database })) => {
-                    self.user_and_database = self.context.statements().map(|_| Box::new((user, database)));
+                    if user.len() + database.len() > MAX_NAME_BYTES {
+                        let message = "the names of user and database are too long";
+                        return self
+                            .connection
+                            .send_fatal(code::PROTOCOL_VIOLATION, message)
+                            .await
+                            .map(|()| false);
+                    }
+                    self.user_and_database = Some(Box::new((user, database)));
                     if minor > 0 || !options.is_empty() {
                         pg::put_negotiate_protocol_version(&mut self.connection.out, &options);
                     }
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -542,6 +542,32 @@
     assert!(refused.field('M').contains("table entries has no group"), "{}", refused.field('M'));
 }
 
+/// Guards against a write in the group of other customers: a session that was open before plain statements were switched on
+/// had neither user nor database.
+#[test]
+fn a_session_from_before_plain_statements_were_switched_on_has_its_database() {
+    let of_orders = OPERATOR.replace("effects: ['write'],", "effects: ['write'], databases: ['orders'],");
+    let fleet = fleet("{}", 0);
+    let mut client = fleet.client();
+    let write = "INSERT INTO entries (ref, payload) VALUES ('7f', 'x') RETURNING payload";
+    assert_eq!(client.query(write).expect("an answer").code(), "42601");
+    std::fs::write(fleet.proxy.operator_file(), of_orders).expect("written");
+    fleet.proxy.signal("HUP").expect("signalled");
+    fleet.proxy.logged("plain statements are on").expect("logged");
+    for session in [&mut client, &mut fleet.client()] {
+        let answer = session.query(write).expect("an answer");
+        assert_eq!((answer.code(), answer.value()), ("", Some("x")));
+    }
+}
+
+/// Guards against memory that each connection holds for as long as it likes.
+#[test]
+fn a_session_with_an_endless_name_is_refused() {
+    let fleet = fleet(OPERATOR, 0);
+    assert!(Client::connect(fleet.proxy.address, &"u".repeat(5_000), "orders").is_err());
+    assert_eq!(fleet.ask("SELECT 1").value(), Some("ok"));
+}
+
 #[test]
 fn an_invalid_operators_file_fails_the_start_and_is_ignored_on_reload() {
     // At the start, the program ends with exit code 2 and names the key and its place.
