Never send a plain write again once it may have run, whatever its class allows

What callers saw: behind a reset of the connection to the primary a plain write ran twice, where the class of its rule may be repeated.

Cause: `Idempotency::repeatable_until`, `forgotten_at` and `may_refuse` asked for the class first. `Class::idempotency_of` now says for all of them what a second run of a request does.

--- a/src/invariants.rs
+++ b/src/invariants.rs
@@ -5,7 +5,7 @@
 //! all the same. The functions are pure: durations and flags in, a verdict out. This module must not choose a
 //! host, read a clock or keep state of a request.
 
-use crate::api::{DedupScope, Idempotency, Micros};
+use crate::api::{Access, Class, DedupScope, Idempotency, Micros};
 use crate::mutants;
 use serde::Serialize;
 
@@ -36,6 +36,15 @@
     first + window.saturating_sub(drift + MAX_STALL_US + WRITE_DELAY_US)
 }
 
+impl Class {
+    /// What a second run of a request does. A `plain` write carries nothing by which a host recognises its repetition, whatever
+    /// its class allows others.
+    pub fn idempotency_of(&self, plain: bool) -> Idempotency {
+        let is_plain_write = plain && self.access == Access::Write;
+        if is_plain_write { Idempotency::NotIdempotent } else { self.idempotency }
+    }
+}
+
 impl Idempotency {
     /// Until when a request may be sent once more. `first`: when the first attempt that may have run was
     /// sent. A `plain` request carries no key.
--- a/src/logic/freshness.rs
+++ b/src/logic/freshness.rs
@@ -109,7 +109,7 @@
         let to_primary = self.groups.get(&request.group).and_then(|group| group.primary) == Some(latest.host);
         let current =
             to_primary || self.is_checked_by_host(request) || self.is_current_enough(latest.host, request);
-        let idempotency = self.settings.classes[request.class].idempotency;
+        let idempotency = self.settings.classes[request.class].idempotency_of(request.plain);
         let first = Attempt::first_possibly_run(before).map(|a| a.sent);
         let repeatable_until = idempotency.repeatable_until(first, request.plain);
         RequestStart {
--- a/src/logic/lifecycle.rs
+++ b/src/logic/lifecycle.rs
@@ -22,14 +22,15 @@
     /// Until when another attempt may begin after the attempts in `before`.
     pub(super) fn repeatable_until(&self, request: &Request, before: &[Attempt]) -> Micros {
         let first = Attempt::first_possibly_run(before).map(|a| a.sent);
-        self.settings.classes[request.class].idempotency.repeatable_until(first, request.plain)
+        let idempotency = self.settings.classes[request.class].idempotency_of(request.plain);
+        idempotency.repeatable_until(first, request.plain)
     }
 
     /// Whether the client may be told that a further try is harmless.
     pub(super) fn may_refuse(&self, request: &Request) -> bool {
         let may_have_run = Attempt::first_possibly_run(&request.attempts).is_some();
         let refusable = invariants::may_refuse(
-            self.settings.classes[request.class].idempotency,
+            self.settings.classes[request.class].idempotency_of(request.plain),
             may_have_run,
             request.plain,
         );
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -13,8 +13,8 @@
 use crate::settings::ProgramSettings;
 use crate::talk;
 use crate::{
-    Access, Action, AttemptResult, Event, GroupId, HostEntry, HostId, HostReport, HostStatus, Idempotency,
-    ListUpdate, Micros, Outcome, RequestId, RequestInfo, Role, Router, SessionEvent, Settings,
+    Access, Action, AttemptResult, Class, Event, GroupId, HostEntry, HostId, HostReport, HostStatus,
+    Idempotency, ListUpdate, Micros, Outcome, RequestId, RequestInfo, Role, Router, SessionEvent, Settings,
 };
 use async_channel::{Receiver, Sender, TryRecvError, unbounded};
 use futures_lite::future;
@@ -200,7 +200,7 @@
     /// Counts and logs closes, refusals, retries and broken invariants.
     pub events: Rc<Events>,
     /// Whether requests of each class may run a second time.
-    class_idempotency: Vec<Idempotency>,
+    classes: Vec<Class>,
     /// How long the name of a host that left the list is kept.
     name_retention: Micros,
     /// How long the proxy waits for discovery's first answer before it serves from a cached list.
@@ -237,7 +237,7 @@
         let takes_turns = backoff::takes_turns(settings.proxy_count);
         let discovery_grace = if takes_turns { Duration::ZERO } else { DISCOVERY_GRACE };
         let name_retention = settings.safety.cold_duration.saturating_mul(NAME_RETENTION_COLD_DURATIONS);
-        let class_idempotency = settings.classes.iter().map(|c| c.idempotency).collect();
+        let classes = settings.classes.clone();
         let headroom_class =
             |c: &crate::Class| HeadroomClass { worth: c.worth, writes: c.access == Access::Write };
         let headroom_classes = settings.classes.iter().map(headroom_class).collect();
@@ -260,7 +260,7 @@
             retry_in,
             inner: RefCell::new(inner),
             events: Rc::default(),
-            class_idempotency,
+            classes,
             name_retention,
             discovery_grace,
             timer_changed: async_channel::bounded(1),
@@ -357,12 +357,13 @@
 
     /// Whether hosts recognise a second run of the class's requests by a key.
     pub fn is_keyed(&self, class: u8) -> bool {
-        matches!(self.idempotency(class), Some(Idempotency::Keyed(..)))
+        let class = self.classes.get(usize::from(class));
+        class.is_some_and(|class| matches!(class.idempotency, Idempotency::Keyed(..)))
     }
 
-    /// Whether the class's requests may run a second time; `None` for an unknown class.
-    pub fn idempotency(&self, class: u8) -> Option<Idempotency> {
-        self.class_idempotency.get(usize::from(class)).copied()
+    /// What a second run of a request does; `None` for an unknown class.
+    pub fn idempotency(&self, request: &Request) -> Option<Idempotency> {
+        self.classes.get(usize::from(request.class)).map(|class| class.idempotency_of(request.plain))
     }
 
     /// Whether the class's requests write.
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -410,7 +410,7 @@
 
     /// Reports a broken invariant if the request is about to be refused, may have run, and must not run twice.
     fn check_refusal(&self, request: &Request, id: &str, may_have_run: bool) {
-        let Some(idempotency) = self.core.idempotency(request.class) else { return };
+        let Some(idempotency) = self.core.idempotency(request) else { return };
         if !invariants::may_refuse(idempotency, may_have_run, request.plain) {
             self.core.events.violated(Violation::RefusedAfterRun, &format_args!("id {id:?}"));
         }
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -2,7 +2,7 @@
 //! request may be refused and a connection may be closed.
 
 use sillfold::invariants::*;
-use sillfold::{DedupScope, Idempotency};
+use sillfold::{Access, Class, DedupScope, Idempotency};
 
 /// A millisecond, in microseconds.
 const MS: u64 = 1_000;
@@ -121,6 +121,24 @@
     assert_eq!(cut_off_after(60_000 * MS, 3_000 * MS), 63_000 * MS, "a long linger time is kept");
 }
 
+/// Guards against a plain write that runs twice where its class may be repeated.
+#[test]
+fn a_plain_write_may_never_be_repeated_and_a_plain_read_as_its_class_allows() {
+    let class = |access| Class {
+        access,
+        idempotency: Idempotency::Idempotent,
+        latency_target: 0,
+        deadline: 0,
+        worth: 1.0,
+        late_worth: 0.0,
+        latency_target_stretch: 0.0,
+    };
+    let (write, read) = (class(Access::Write), class(Access::AnyRead));
+    assert_eq!(write.idempotency_of(true), Idempotency::NotIdempotent);
+    assert_eq!(write.idempotency_of(false), Idempotency::Idempotent);
+    assert_eq!(read.idempotency_of(true), Idempotency::Idempotent);
+}
+
 #[test]
 fn a_request_is_refused_only_if_a_further_try_is_harmless() {
     let keyed = |scope| Idempotency::Keyed(scope, 9);
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -310,6 +310,23 @@
     }
 }
 
+/// Guards against a plain write that runs twice: no host recognises its repetition.
+#[test]
+fn a_plain_write_that_may_have_run_is_not_sent_again_where_its_class_may_be_repeated() {
+    let group = Group::new();
+    let primary = host(&group, "s-1", true, 0);
+    let agent = Agent::start(loopback_address(), vec![HostEntry::serving(&primary, 3)]).expect("an agent");
+    let mut settings = settings();
+    settings["classes"][2]["effect"] = "retryable".into();
+    let proxy = Proxy::start_at_own_address(&[PROGRAM], agent.address, &settings, Some(OPERATOR));
+    let proxy = proxy.expect("the proxy serves");
+    primary.inject_fault(Fault::RunThenReset);
+    let mut client = Client::connect(proxy.address, "web", "orders").expect("a session");
+    let write = "INSERT INTO entries (ref, payload) VALUES ('7f', 'x') RETURNING payload";
+    assert_eq!(client.query(write).expect("an answer").code(), "40003");
+    assert_eq!(group.writes_of("7f"), 1);
+}
+
 #[test]
 fn a_read_that_a_replica_cannot_run_is_retried_at_the_primary() {
     let fleet = fleet(OPERATOR, 0);
