--- a/src/net/pipeline.rs
+++ b/src/net/pipeline.rs
@@ -1,8 +1,8 @@
 //! The requests of one connection that were read behind another, in their order. The pipeline serves them, and keeps their
 //! answers until their turn. It must never read or write a connection, nor choose a host.
 //!
-//! A request starts as soon as there is memory for its answer and it doesn't depend on an unanswered one before it: two writes, or a write and another request
-//! of the same group, run one after the other; all others run at the same time.
+//! A request starts as soon as there is memory for its answer and it doesn't depend on an unanswered one before it: two
+//! writes, or a write and another request of the same group, run one after the other; all others run at the same time.
 
 use super::admission::IdClaim;
 use super::client_connection::AbandonReason;
