Review case 8: long writes begin for clients that have left

Cause: of a long statement only the head is read before a host is chosen, so its client's end stands behind unread bytes and the machine does not know of it when the attempt begins. Change: the case.

--- a/review/stand2/src/main.rs
+++ b/review/stand2/src/main.rs
@@ -4,6 +4,7 @@
 mod block;
 mod hang;
 mod keys;
+mod leave;
 mod rig;
 mod temp;
 mod upload;
@@ -47,6 +48,7 @@
         "keys" => keys::run(&case),
         "block" => block::run(&case),
         "chain" => block::run_chain(&case),
+        "leave" => leave::run(&case),
         "temp" => temp::run(&case),
         "upload" => upload::run(&case),
         other => Err(format!("no case {other:?}")),
--- a/review/stand2/src/rig.rs
+++ b/review/stand2/src/rig.rs
@@ -325,6 +325,12 @@
     pub position: Arc<AtomicU64>,
     /// Takes what it is sent, probes included, and answers none of it.
     pub hangs: Arc<std::sync::atomic::AtomicBool>,
+    /// For how long the welcome on each third connection waits, in milliseconds.
+    pub late_ms: Arc<AtomicU64>,
+    /// The connection is closed behind each answer to a request.
+    pub closes: Arc<std::sync::atomic::AtomicBool>,
+    /// The whole statements that came, and when the first byte of each did.
+    pub begun: Arc<Mutex<Vec<(Instant, String)>>>,
 }
 
 impl Host {
@@ -337,6 +343,9 @@
             primary: Arc::new(primary.into()),
             position: Arc::default(),
             hangs: Arc::default(),
+            late_ms: Arc::default(),
+            closes: Arc::default(),
+            begun: Arc::default(),
         };
         let (serving, record, answer) = (host.clone(), record.clone(), Arc::<Answer>::from(answer));
         thread::spawn(move || {
@@ -367,12 +376,20 @@
         stream.read_exact(&mut length)?;
         let mut packet = vec![0; (u32::from_be_bytes(length) as usize).clamp(4, 10_000) - 4];
         stream.read_exact(&mut packet)?;
+        let late_ms = self.late_ms.load(Ordering::SeqCst);
+        if late_ms > 0 && number % 3 == 0 {
+            record.line(format!("host {}: connection {number} comes up {late_ms} ms late", self.name));
+            thread::sleep(Duration::from_millis(late_ms));
+        }
         let mut out = Vec::new();
         put(&mut out, b'R', &0u32.to_be_bytes());
         put(&mut out, b'Z', b"I");
         stream.write_all(&out)?;
         loop {
-            let (kind, body) = read_message(&mut stream)?;
+            let mut kind = [0];
+            stream.read_exact(&mut kind)?;
+            let began = Instant::now();
+            let (kind, body) = read_message_behind(kind[0], &mut stream)?;
             if kind != b'Q' {
                 return Ok(());
             }
@@ -393,6 +410,7 @@
                 put_rows(&mut out, &["1".to_string()]);
                 put(&mut out, b'C', b"SELECT 1\0");
             } else {
+                self.begun.lock().unwrap().push((began, text.chars().take(200).collect()));
                 record.line(format!("host {} gets on connection {number}: {}", self.name, short(&text)));
                 let reply = answer(&text, number);
                 let writes = text.contains("INSERT") || text.contains("DELETE") || text.contains("UPDATE");
@@ -413,6 +431,9 @@
             }
             put(&mut out, b'Z', b"I");
             stream.write_all(&out)?;
+            if self.closes.load(Ordering::SeqCst) && !matches!(text.as_str(), "" | "SHOW usage" | "SELECT 1") {
+                return Ok(());
+            }
         }
     }
 
@@ -467,12 +488,18 @@
 }
 
 fn read_message(stream: &mut TcpStream) -> io::Result<(u8, Vec<u8>)> {
-    let mut head = [0; 5];
-    stream.read_exact(&mut head)?;
-    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
-    let mut body = vec![0; length.clamp(4, 16 << 20) - 4];
+    let mut kind = [0];
+    stream.read_exact(&mut kind)?;
+    read_message_behind(kind[0], stream)
+}
+
+/// The rest of a message whose kind has been read.
+fn read_message_behind(kind: u8, stream: &mut TcpStream) -> io::Result<(u8, Vec<u8>)> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length)?;
+    let mut body = vec![0; (u32::from_be_bytes(length) as usize).clamp(4, 16 << 20) - 4];
     stream.read_exact(&mut body)?;
-    Ok((head[0], body))
+    Ok((kind, body))
 }
 
 // ---- Clients ----
