--- a/review/stand2/src/main.rs
+++ b/review/stand2/src/main.rs
@@ -7,6 +7,7 @@
 mod leave;
 mod rig;
 mod temp;
+mod twin;
 mod upload;
 
 use rig::Record;
@@ -50,6 +51,7 @@
         "chain" => block::run_chain(&case),
         "leave" => leave::run(&case),
         "temp" => temp::run(&case),
+        "twin" => twin::run(&case),
         "upload" => upload::run(&case),
         other => Err(format!("no case {other:?}")),
     };
