Review case 7: a write behind a long value of another one runs before it

Cause: in a pipeline a write whose row head has come counts as answered, though its value is neither passed on nor committed, so the write behind it begins.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# The id of an open request, at the other process of an upgrade.
+# Two writes to one row, sent at once behind a read of another group.
 # Exit codes: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 stand="$root/review/stand2/target/release/stand2"
 [ -x "$stand" ] || { echo "the case could not run: review/build-2.sh comes first"; exit 2; }
 [ -x "$root/target/release/sillfold" ] || { echo "the case could not run: the deploy file's build comes first"; exit 2; }
-exec "$stand" twin "$root" "$here"
+exec "$stand" order "$root" "$here"
--- a/review/stand2/src/main.rs
+++ b/review/stand2/src/main.rs
@@ -5,6 +5,7 @@
 mod hang;
 mod keys;
 mod leave;
+mod order;
 mod rig;
 mod temp;
 mod twin;
@@ -50,6 +51,7 @@
         "block" => block::run(&case),
         "chain" => block::run_chain(&case),
         "leave" => leave::run(&case),
+        "order" => order::run(&case),
         "temp" => temp::run(&case),
         "twin" => twin::run(&case),
         "upload" => upload::run(&case),
--- a/review/stand2/src/rig.rs
+++ b/review/stand2/src/rig.rs
@@ -306,6 +306,9 @@
     Error(&'static str, String),
     /// Several results in the order of the statements.
     Several(Vec<Reply>),
+    /// One row that is written in pieces, with a wait behind each. What it wrote is committed behind it, then its command is
+    /// complete.
+    Slowly { value: String, pieces: usize, wait: Duration, commit: Box<dyn Fn() + Send + Sync>, tag: String },
     /// Nothing; the connection stays open.
     Silence,
     /// The connection ends without an answer.
@@ -419,6 +422,16 @@
                 if writes && self.is_primary() {
                     put(&mut out, b'S', format!("commit_clock\0{}\0", unix_us() / 1000).as_bytes());
                 }
+                if let Reply::Slowly { value, pieces, wait, commit, tag } = &reply {
+                    let mut row = Vec::new();
+                    put_rows(&mut row, std::slice::from_ref(value));
+                    for piece in row.chunks(row.len().div_ceil(*pieces)) {
+                        stream.write_all(piece)?;
+                        thread::sleep(*wait);
+                    }
+                    commit();
+                    put(&mut out, b'C', format!("{tag}\0").as_bytes());
+                }
                 match self.put_reply(&mut out, &reply) {
                     Sent::Answer => {}
                     Sent::Silence => {
@@ -455,6 +468,7 @@
                     }
                 }
             }
+            Reply::Slowly { .. } => {}
             Reply::Silence => return Sent::Silence,
             Reply::Close => return Sent::Close,
         }
