--- a/review/stand2/src/main.rs
+++ b/review/stand2/src/main.rs
@@ -7,6 +7,7 @@
 mod leave;
 mod order;
 mod rig;
+mod search;
 mod temp;
 mod twin;
 mod upload;
@@ -52,6 +53,7 @@
         "chain" => block::run_chain(&case),
         "leave" => leave::run(&case),
         "order" => order::run(&case),
+        "search" => search::run(&case),
         "temp" => temp::run(&case),
         "twin" => twin::run(&case),
         "upload" => upload::run(&case),
--- a/review/stand2/src/rig.rs
+++ b/review/stand2/src/rig.rs
@@ -564,6 +564,19 @@
         self.stream.write_all(&out)
     }
 
+    /// Sends a statement in pieces, with a wait behind each.
+    pub fn send_slowly(&mut self, text: &str, piece: usize, wait: Duration) -> io::Result<()> {
+        let mut out = Vec::new();
+        let mut body = text.as_bytes().to_vec();
+        body.push(0);
+        put(&mut out, b'Q', &body);
+        for piece in out.chunks(piece) {
+            self.stream.write_all(piece)?;
+            thread::sleep(wait);
+        }
+        Ok(())
+    }
+
     /// Waits for the next whole answer; the error kind tells a time-out from the end of the connection.
     pub fn hear(&mut self, limit: Duration) -> io::Result<Heard> {
         let until = Instant::now() + limit;
