An id has one holder among the processes of a machine, over upgrades too

Cause: each process knew its own ids only. The exchange between processes told limits and overrides, and no ids.

A lock has one holder, is granted or denied without a wait, and is freed by the holder's death, so killed and hung processes, series of upgrades and rollbacks need no rule of their own. A process claims what it had in use before it tells a new one that it may serve. A process alone opens no file. A claim that fails is counted and the request served.

--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -5,7 +5,8 @@
 
 use oorandom::Rand64;
 use sillfold::net::world::{
-    LocalBoxFuture, SimulatedConnection, SimulatedDatagramSocket, SimulatedListener, SimulatedWorld,
+    LocalBoxFuture, SimulatedConnection, SimulatedDatagramSocket, SimulatedListener, SimulatedSharedFile,
+    SimulatedWorld,
 };
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -162,10 +163,20 @@
     files: BTreeMap<PathBuf, Vec<u8>>,
     sockets: BTreeMap<PathBuf, SocketAddr>,
     dirs: BTreeSet<PathBuf>,
+    /// The files that several processes use at the same time.
+    shared_files: BTreeMap<PathBuf, SharedFileState>,
     /// Writes fail because the disk is full.
     full: bool,
 }
 
+/// A file that several processes use at the same time.
+#[derive(Default)]
+struct SharedFileState {
+    bytes: Vec<u8>,
+    /// The holder of each lock: the number of an open file.
+    locks: BTreeMap<u64, u64>,
+}
+
 /// The state of the world.
 struct Inner {
     /// The instant of virtual time 0.
@@ -945,6 +956,82 @@
         let inside = |entry: &&PathBuf| entry.parent() == Some(path);
         Ok(disk.map(|d| d.files.keys().filter(inside).cloned().collect()).unwrap_or_default())
     }
+
+    fn since_boot(&self) -> Duration {
+        Duration::from_micros(self.world.now())
+    }
+
+    fn open_shared(&self, path: &Path) -> io::Result<Box<dyn SimulatedSharedFile>> {
+        let mut inner = self.world.0.borrow_mut();
+        if inner.call_faults_of(self.machine).unreadable_files {
+            return Err(io::Error::from_raw_os_error(EIO));
+        }
+        let number = inner.next_number();
+        let disk = inner.machines[self.machine].disk;
+        self.disk(&mut inner)?.shared_files.entry(path.into()).or_default();
+        drop(inner);
+        Ok(Box::new(OpenSharedFile { world: self.world.clone(), disk, path: path.into(), number }))
+    }
+}
+
+/// An open file that several processes use at the same time.
+struct OpenSharedFile {
+    world: Rc<World>,
+    disk: usize,
+    path: PathBuf,
+    /// Identifies the open file.
+    number: u64,
+}
+
+impl OpenSharedFile {
+    fn with_state<T>(&self, work: impl FnOnce(&mut SharedFileState) -> T) -> T {
+        let mut inner = self.world.0.borrow_mut();
+        let disk = inner.disks.entry(self.disk).or_default();
+        work(disk.shared_files.entry(self.path.clone()).or_default())
+    }
+}
+
+impl SimulatedSharedFile for OpenSharedFile {
+    fn try_lock(&self, offset: u64) -> io::Result<bool> {
+        Ok(self.with_state(|file| *file.locks.entry(offset).or_insert(self.number) == self.number))
+    }
+
+    fn unlock(&self, offset: u64) -> io::Result<()> {
+        self.with_state(|file| {
+            if file.locks.get(&offset) == Some(&self.number) {
+                file.locks.remove(&offset);
+            }
+        });
+        Ok(())
+    }
+
+    fn read_at(&self, buffer: &mut [u8], offset: u64) -> io::Result<usize> {
+        self.with_state(|file| {
+            let rest = file.bytes.get(offset as usize..).unwrap_or_default();
+            let length = rest.len().min(buffer.len());
+            buffer[..length].copy_from_slice(&rest[..length]);
+            Ok(length)
+        })
+    }
+
+    fn write_at(&self, bytes: &[u8], offset: u64) -> io::Result<()> {
+        let full = self.world.0.borrow().disks.get(&self.disk).is_some_and(|disk| disk.full);
+        if full {
+            return Err(ErrorKind::StorageFull.into());
+        }
+        self.with_state(|file| {
+            let (begin, end) = (offset as usize, offset as usize + bytes.len());
+            file.bytes.resize(file.bytes.len().max(end), 0);
+            file.bytes[begin..end].copy_from_slice(bytes);
+        });
+        Ok(())
+    }
+}
+
+impl Drop for OpenSharedFile {
+    fn drop(&mut self) {
+        self.with_state(|file| file.locks.retain(|_, holder| *holder != self.number));
+    }
 }
 
 impl MachineView {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,8 @@
 // The proxy around the decision module. It is in this crate so that a simulation can run it too, and it is no
 // interface for other crates.
 #[doc(hidden)]
+pub mod answered_ids;
+#[doc(hidden)]
 pub mod config;
 #[doc(hidden)]
 pub mod mutants;
--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -1,5 +1,5 @@
-//! Limits on clients: how many connections they may have, for how long a connection may be idle, and which request ids are
-//! in use. It owns the memory that connections share. It also holds the state of a drain and of a stop. It must never read
+//! Limits on clients: how many connections they may have, and for how long a connection may be idle. It owns the memory
+//! that connections share, and the request ids in use. It also holds the state of a drain and of a stop. It must never read
 //! or write a connection, nor interpret a request.
 //!
 //! Slots for connections are scarce, and only an open request has a right to one. A connection that is idle between
@@ -7,13 +7,13 @@
 
 use super::core::Core;
 use super::memory::{ClientMemory, ConnectionMemory, MemoryFigures};
+use super::request_ids::RequestIds;
 use super::scheduler::Spawner;
 use super::world;
 use super::{ResourceUsage, SharedLimit, timeout_at};
 use async_channel::{Receiver, Sender};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet, VecDeque};
-use std::hash::{BuildHasher, RandomState};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::info;
@@ -48,8 +48,6 @@
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(250);
 /// Descriptors that another process needs besides those of its clients and hosts.
 const OTHER_PROCESS_DESCRIPTORS: usize = 32;
-/// How long an id stays in use after its request was answered.
-const ID_RETENTION: Duration = Duration::from_secs(2);
 
 /// The limits on all clients, and the state of a drain or a stop.
 pub struct Admission {
@@ -63,7 +61,8 @@
     /// the slots of clients that could be served.
     refusing: Rc<Cell<usize>>,
     idle_connections: RefCell<IdleConnections>,
-    ids: RefCell<Ids>,
+    /// The request ids in use.
+    pub ids: RequestIds,
     /// Closed once idle connections have to end; replaced when a drain is called off.
     closing_idle: RefCell<(Sender<()>, Receiver<()>)>,
     /// Closed once the stop's time is over, and open requests get their final answers at once.
@@ -103,16 +102,6 @@
     last_number: u64,
 }
 
-/// The ids of requests that are open, or were answered a moment ago. Guards against a client that sends the id of another
-/// client's request: database hosts would take it for a second copy of that request.
-#[derive(Default)]
-struct Ids {
-    hasher: RandomState,
-    in_use: HashSet<u64>,
-    /// The ids of answered requests, oldest first.
-    answered: VecDeque<(Instant, u64)>,
-}
-
 /// A client's slot in the limit on connections; dropping it frees the slot.
 pub struct ClientSlot {
     count: Rc<Cell<usize>>,
@@ -154,20 +143,10 @@
     }
 }
 
-/// A request id in use; dropping it frees the id after `ID_RETENTION`.
-pub struct IdClaim<'a> {
-    admission: &'a Admission,
-    id: u64,
-}
-
-impl Drop for IdClaim<'_> {
-    fn drop(&mut self) {
-        self.admission.ids.borrow_mut().answered.push_back((world::now(), self.id));
-    }
-}
-
 impl Admission {
-    pub fn new(core: Rc<Core>, max_open: usize, memory: ClientMemory, executor: Spawner) -> Admission {
+    pub fn new(
+        core: Rc<Core>, max_open: usize, memory: ClientMemory, ids: RequestIds, executor: Spawner,
+    ) -> Admission {
         Admission {
             core,
             max_open: SharedLimit::new(max_open),
@@ -175,7 +154,7 @@
             open: Rc::default(),
             refusing: Rc::default(),
             idle_connections: RefCell::default(),
-            ids: RefCell::default(),
+            ids,
             closing_idle: RefCell::new(async_channel::bounded(1)),
             cut_off: async_channel::bounded(1),
             cut_off_at: Cell::new(None),
@@ -287,17 +266,6 @@
         }
     }
 
-    /// Claims the id of a request; `None` if another request uses it.
-    pub fn claim(&self, id: &str) -> Option<IdClaim<'_>> {
-        let mut ids = self.ids.borrow_mut();
-        while let Some(&(_, expired)) = ids.answered.front().filter(|e| world::since(e.0) > ID_RETENTION) {
-            ids.answered.pop_front();
-            ids.in_use.remove(&expired);
-        }
-        let id = ids.hasher.hash_one(id);
-        ids.in_use.insert(id).then(|| IdClaim { admission: self, id })
-    }
-
     /// How long connections may be idle between requests. The more are idle, the shorter it is.
     pub fn idle_timeout(&self) -> Duration {
         let idle = self.idle_connections.borrow().between_requests.len();
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -2,13 +2,14 @@
 //! retries, attempts that were not started, late answers, and broken invariants. It owns the counters. It must never decide anything,
 //! nor fill the log: all but broken invariants and late answers is logged at the level `debug`.
 
-use super::world;
+use super::{warn_rate_limited, world};
 use crate::invariants::{CloseReason, Denial, Violation};
 use crate::{Micros, Outcome};
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Display;
+use std::io;
 use std::time::{Duration, Instant};
 use tracing::{debug, error, info};
 
@@ -35,6 +36,18 @@
     Memory,
 }
 
+/// Why the id of a request was found in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum IdConflict {
+    /// This process has a request with the id, or answered one a moment ago.
+    SameProcess,
+    /// Another process of this machine has, or did.
+    OtherProcess,
+    /// An open request of this process and one of another process had the id before the two knew of each other.
+    BeforeSharing,
+}
+
 /// What ended the attempt before a retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -114,6 +127,9 @@
     repeats: RefCell<BTreeMap<RepeatReason, u64>>,
     late: RefCell<BTreeMap<LateReason, u64>>,
     denials: RefCell<BTreeMap<Denial, u64>>,
+    id_conflicts: RefCell<BTreeMap<IdConflict, u64>>,
+    /// How often an id could not be claimed on this machine although other processes run.
+    failed_id_claims: Cell<u64>,
     violations: RefCell<BTreeMap<Violation, u64>>,
     violation_reports: ReportLimit,
     late_reports: ReportLimit,
@@ -146,6 +162,8 @@
     /// Answers behind their clients' deadlines.
     late: BTreeMap<LateReason, u64>,
     denied_starts: BTreeMap<Denial, u64>,
+    id_conflicts: BTreeMap<IdConflict, u64>,
+    failed_id_claims: u64,
     /// Every invariant is listed from the start; each counter has to stay 0.
     invariants: BTreeMap<Violation, u64>,
 }
@@ -191,6 +209,18 @@
         count(&self.denials, reason);
     }
 
+    /// Counts a request whose id was found in use.
+    pub fn id_conflict(&self, id: &str, conflict: IdConflict) {
+        debug!(target: "requests", id, ?conflict, "the id is in use");
+        count(&self.id_conflicts, conflict);
+    }
+
+    /// Counts and logs that an id could not be claimed on this machine.
+    pub fn id_claim_failed(&self, error: &io::Error) {
+        self.failed_id_claims.set(self.failed_id_claims.get() + 1);
+        warn_rate_limited(|| format!("ids: an id could not be claimed on this machine: {error}"));
+    }
+
     /// Counts and logs a broken invariant; `about` names the request or connection.
     pub fn violated(&self, what: Violation, about: &dyn Display) {
         count(&self.violations, what);
@@ -218,6 +248,8 @@
             repeats: self.repeats.borrow().clone(),
             late: self.late.borrow().clone(),
             denied_starts: self.denials.borrow().clone(),
+            id_conflicts: self.id_conflicts.borrow().clone(),
+            failed_id_claims: self.failed_id_claims.get(),
             invariants: self.violations(),
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,6 +16,7 @@
 //! - `discovery`: the watch of the list;
 //! - `peers`: datagrams from and to other proxies;
 //! - `statements`: classification of plain statements;
+//! - `request_ids`: the request ids in use;
 //! - `admission`: limits on clients;
 //! - `client_connection`: a client's connection;
 //! - `request`: one request from its arrival to its answer;
@@ -54,6 +55,7 @@
 pub mod pipeline;
 pub mod proxy;
 pub mod request;
+pub mod request_ids;
 pub mod scheduler;
 pub mod session;
 pub mod signals;
--- a/src/net/pipeline.rs
+++ b/src/net/pipeline.rs
@@ -4,10 +4,10 @@
 //! A request starts as soon as there is memory for its answer and it doesn't depend on an unanswered one before it: two
 //! writes, or a write and another request of the same group, run one after the other; all others run at the same time.
 
-use super::admission::IdClaim;
 use super::client_connection::AbandonReason;
 use super::memory::{AnswerMemory, Reservation};
 use super::request::{ClientWatch, PendingAnswer};
+use super::request_ids::IdClaim;
 use super::work;
 use crate::GroupId;
 use crate::pg;
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -9,6 +9,7 @@
 use super::hosts::Hosts;
 use super::memory::ClientMemory;
 use super::peers::Peers;
+use super::request_ids::RequestIds;
 use super::scheduler::Spawner;
 use super::statements::Statements;
 use super::upgrade::Upgrade;
@@ -69,7 +70,8 @@
         let hosts = Hosts::new(core.clone(), max_connections, buffer_bytes, drain_grace, user, database);
         let hosts = Rc::new(hosts);
         let max_clients = config.max_clients;
-        let admission = Admission::new(core.clone(), max_clients, memory, executor.clone());
+        let ids = RequestIds::new(config.state_dir.clone(), core.events.clone());
+        let admission = Admission::new(core.clone(), max_clients, memory, ids, executor.clone());
         let clients =
             Clients::new(core.clone(), hosts.clone(), admission, config.response_margin, executor.clone());
         let clients = Rc::new(clients);
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -2,7 +2,7 @@
 //! `request` for the serving of one request, `pipeline` for the requests behind another, `client_connection` for the bytes,
 //! and `admission` for request ids. It must never choose a host or judge an outcome.
 
-use super::admission::{Admission, IdClaim};
+use super::admission::Admission;
 use super::client_connection::{AbandonReason, ClientConnection, ReadAhead, ReadAheadMode, ReadResult};
 use super::core::{Arrival, Clock, Core, Request, fnv1a};
 use super::events::RefusalReason;
@@ -13,6 +13,7 @@
     ClientLink, ClientWatch, FinalAnswer, PendingAnswer, RequestHandler, StreamResult, give_up_at, pad_value,
     stream_plain_answer, stream_value,
 };
+use super::request_ids::IdClaim;
 use super::scheduler;
 use super::statements::{PlainRoute, StatementRefusal, Statements};
 use super::work;
@@ -801,7 +802,7 @@
         }
         let claim = match plain {
             Some(_) => None,
-            None => Some(self.context.admission.claim(&statement.id).ok_or_else(|| {
+            None => Some(self.context.admission.ids.claim(&statement.id).ok_or_else(|| {
                 let message = format!("id {} is that of another request", quote(&statement.id));
                 error(code::DUPLICATE_OBJECT, message)
             })?),
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -45,6 +45,9 @@
 const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// The interval at which the folder is read while other processes run that send their overrides.
 const SHARED_FOLDER_INTERVAL: Duration = Duration::from_secs(1);
+/// How long no other process must have run until a process counts as alone. Where the process between two others ends,
+/// these connect to each other well within this time.
+const ALONE_TIME: Duration = Duration::from_secs(5);
 /// The wait before another accept or connect after this machine lacked a resource for one.
 const SHORTAGE_WAIT: Duration = Duration::from_millis(20);
 /// The maximum number of retries of a connect to the process that may run already, while this machine lacks a resource for
@@ -61,8 +64,11 @@
     /// Manual overrides that changed since the message before.
     #[serde(rename = "orders")]
     overrides: Vec<OverrideMessage>,
-    /// Whether this process has sent all overrides that it knows, and waits for none itself.
+    /// Whether this process has sent all overrides that it knows and claimed the ids in use on this machine, and waits for
+    /// no other process itself.
     complete: bool,
+    /// Whether this version claims the ids of requests on this machine.
+    claims_ids: bool,
 }
 
 /// The same message as it is received, from any version.
@@ -79,6 +85,9 @@
     overrides: Option<Vec<serde_json::Value>>,
     #[serde(default)]
     complete: bool,
+    /// False from a process whose version does not send it.
+    #[serde(default)]
+    claims_ids: bool,
 }
 
 /// The state of a connection to another process.
@@ -187,6 +196,7 @@
             }
         }
         self.remove_connection(number);
+        self.stop_sharing_ids(executor);
         self.listen(path, executor);
     }
 
@@ -233,6 +243,7 @@
             let end = upgrade.exchange(&stream, number).await;
             drop(stream);
             upgrade.remove_connection(number);
+            upgrade.stop_sharing_ids(&spawner);
             if end == ExchangeEnd::Disconnected {
                 upgrade.connect_to_latest(&spawner);
             }
@@ -274,11 +285,26 @@
         };
         self.others.borrow_mut().insert(number, other);
         self.share_limits();
+        self.admission.ids.share();
         self.core.set_other_process(true);
         let _ = self.folder_due.0.try_send(());
         number
     }
 
+    /// Stops to claim ids on this machine once no other process has run for `ALONE_TIME`.
+    fn stop_sharing_ids(self: &Rc<Upgrade>, executor: &Spawner) {
+        if self.has_other_process() {
+            return;
+        }
+        let (upgrade, last_connection) = (self.clone(), self.next_connection.get());
+        executor.spawn(async move {
+            world::after(ALONE_TIME).await;
+            if !upgrade.has_other_process() && upgrade.next_connection.get() == last_connection {
+                upgrade.admission.ids.stop_sharing();
+            }
+        });
+    }
+
     /// Removes a connection whose other process has ended, if it was not removed before.
     fn remove_connection(&self, number: u64) {
         if self.others.borrow_mut().remove(&number).is_none() {
@@ -303,6 +329,9 @@
     async fn send(&self, stream: &Stream, number: u64) -> ExchangeEnd {
         let mut sent_change = 0;
         loop {
+            self.admission.ids.retry_file();
+            // The other process serves clients once this one has sent a complete message.
+            self.admission.ids.claim_earlier().await;
             let (overrides, last) = match self.overrides.last_change() {
                 last if last == sent_change || mutants::on("orders are not told") => (Vec::new(), last),
                 _ => self.overrides.changed_after(sent_change, MAX_NAME_BYTES_PER_MESSAGE),
@@ -311,9 +340,8 @@
             let all_sent = sent_change == self.overrides.last_change();
             let held = self.held_except(number);
             let complete = all_sent && self.is_introduced();
-            let Ok(mut line) =
-                serde_json::to_vec(&Message { process: self.process, held, overrides, complete })
-            else {
+            let message = Message { process: self.process, held, overrides, complete, claims_ids: true };
+            let Ok(mut line) = serde_json::to_vec(&message) else {
                 return ExchangeEnd::Disconnected;
             };
             line.push(b'\n');
@@ -382,6 +410,9 @@
             (other.held, other.last_message, other.sends_overrides) =
                 (message.held, world::now(), sends_overrides);
             let was_introduced = other.is_introduced;
+            if !was_introduced && !message.claims_ids {
+                info!(target: "upgrade", "the version of the other process claims no ids: one may be served twice");
+            }
             // A version that sends no overrides is introduced by its first message.
             other.is_introduced |= message.complete || !sends_overrides;
             was_introduced
--- a/src/net/work.rs
+++ b/src/net/work.rs
@@ -29,6 +29,8 @@
 pub const SEND_CALL: u64 = 8_000;
 /// The work of opening or accepting a connection.
 pub const CONNECTION: u64 = 20_000;
+/// The work of a call that reads, writes or locks a few bytes of a file.
+pub const FILE_CALL: u64 = 1_000;
 /// The work of a message besides its bytes.
 pub const MESSAGE: u64 = 200;
 /// The work of one event of the decision module.
--- a/src/net/world.rs
+++ b/src/net/world.rs
@@ -7,12 +7,16 @@
 //! so a violation fails the lints, and a simulation stays the same from run to run.
 #![allow(clippy::disallowed_methods, reason = "only this module may call them")]
 
+mod shared_file;
+
 use super::faults::{self, Call};
 use super::work;
 use crate::mutants;
 use async_io::{Async, Timer};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::{Errno, fcntl_dupfd_cloexec};
+use rustix::time::{ClockId, clock_gettime};
+pub use shared_file::{SharedFile, SimulatedSharedFile};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::fs;
@@ -70,6 +74,10 @@
     fn make_dirs(&self, path: &Path) -> io::Result<()>;
     /// The paths in a directory; none if it does not exist.
     fn list(&self, path: &Path) -> io::Result<Vec<PathBuf>>;
+    /// The time since the machine was started, on a clock that all of its processes share.
+    fn since_boot(&self) -> Duration;
+    /// Opens a file that several processes use at the same time, and creates it if it does not exist.
+    fn open_shared(&self, path: &Path) -> io::Result<Box<dyn SimulatedSharedFile>>;
 }
 
 /// A simulated connection.
@@ -161,6 +169,15 @@
     active_simulation().map_or_else(machine, |simulation| simulation.unix_time())
 }
 
+/// The time since the machine was started, on a clock that all of its processes share. It never goes back.
+pub fn since_boot() -> Duration {
+    let machine = || {
+        let now = clock_gettime(ClockId::Monotonic);
+        Duration::new(now.tv_sec as u64, now.tv_nsec as u32)
+    };
+    active_simulation().map_or_else(machine, |simulation| simulation.since_boot())
+}
+
 /// A number that differs from process to process.
 pub fn unique_number() -> u64 {
     active_simulation().map_or_else(|| u64::from(std::process::id()), |simulation| simulation.unique_number())
