The time of a long statement begins with its last byte, once

Cause: only the head of a long statement was read before its upload, so neither its last byte nor its client's end was seen, and the upload took its own start for the last wait for bytes. An incomplete request kept the one search.

Change: the statement is read while its request is held or connecting, as far as there is memory. UploadClock (pure) says since when the last byte may have been written: when a read had to wait, less the time for which bytes may have waited unread. That time is the deadline for the module, for the time told to the host, for each write and for the answer. An incomplete request searches only where no other can, and holds up no other search.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,8 @@
 pub mod statement;
 #[doc(hidden)]
 pub mod talk;
+#[doc(hidden)]
+pub mod upload_clock;
 
 pub use api::*;
 pub use logic::Router;
--- a/src/logic/primary.rs
+++ b/src/logic/primary.rs
@@ -57,7 +57,13 @@
     pub(super) fn search_primary(&mut self, group_id: GroupId) {
         let Some(group) = self.groups.get(&group_id) else { return };
         let known = group.primary.is_some_and(|p| self.may_receive(p, true) && self.is_healthy(p));
-        if known || group.search_request.is_some() || self.now < group.search_at || group.members.is_empty() {
+        if known || self.now < group.search_at || group.members.is_empty() {
+            return;
+        }
+        // A request whose client still sends it may search for as long as the client takes, so it holds up no other search.
+        let is_complete = |id: RequestId| self.requests.get(&id).is_some_and(|r| !r.is_incomplete);
+        let is_searching = group.search_request.is_some();
+        if group.search_request.is_some_and(is_complete) {
             return;
         }
         // A write, or a strong read where hosts check freshness, that keeps one attempt for the primary
@@ -67,10 +73,12 @@
             let access = self.settings.classes[request.class].access;
             let checked = access == Access::StrongRead && self.settings.lag_check != LagCheck::Unchecked;
             (access == Access::Write || checked)
+                && !(is_searching && request.is_incomplete)
                 && self.may_send(request)
                 && request.attempts.len() + 1 < self.settings.limits.max_attempts
         };
-        let searcher = group.held.iter().filter(can_search).min_by_key(|id| self.requests[id].attempts.len());
+        let rank = |id: &&RequestId| (self.requests[*id].is_incomplete, self.requests[*id].attempts.len());
+        let searcher = group.held.iter().filter(can_search).min_by_key(rank);
         let Some(&id) = searcher else { return };
         let mut order = group.members.clone();
         order.sort_by_key(|&member| group.listed_primary != Some(member));
--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -14,6 +14,7 @@
 use crate::pg::{
     self, Decoded, ErrorFields, Frontend, MAX_MESSAGE_BYTES, MAX_STARTUP_BYTES, ReadBuffer, Startup, code,
 };
+use crate::upload_clock::UploadClock;
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use std::collections::VecDeque;
@@ -209,6 +210,57 @@
         decoded
     }
 
+    /// Whether bytes of the client wait in the socket, or its connection has ended.
+    pub fn has_unread_bytes(&self) -> bool {
+        !self.stream.is_idle()
+    }
+
+    /// The client's stream.
+    pub fn stream(&self) -> Rc<Stream> {
+        self.stream.clone()
+    }
+
+    /// Waits for a part of the `wanted` bytes of a statement that is streamed, and keeps it; while there is no memory for it, waits
+    /// for memory. Returns why the request is abandoned, if it is. Returns now and then without either.
+    pub async fn receive_ahead(&mut self, wanted: usize, clock: &mut UploadClock) -> Option<AbandonReason> {
+        let admission = self.admission;
+        let cut_off = async {
+            admission.until_cut_off().await;
+            Some(AbandonReason::CutOff)
+        };
+        let received = async {
+            let Some(max_bytes) = self.streamed_room(wanted) else {
+                world::after(HANGUP_CHECK_INTERVAL).await;
+                return self.is_hung_up().then_some(AbandonReason::ClientDisconnected);
+            };
+            let has_waited = !clock.look(world::now(), self.has_unread_bytes());
+            let read = receive_into(&self.stream, &mut self.read_buffer, max_bytes);
+            match timeout_at(world::now() + HANGUP_CHECK_INTERVAL, read).await {
+                None => None,
+                Some(Ok(count @ 1..)) => {
+                    self.received_bytes += count as u64;
+                    self.last_received = world::now();
+                    if has_waited {
+                        clock.received_after_wait(self.last_received);
+                    }
+                    None
+                }
+                Some(Ok(_) | Err(_)) => Some(AbandonReason::ClientDisconnected),
+            }
+        };
+        future::or(received, cut_off).await
+    }
+
+    /// How much of the `wanted` bytes of a streamed statement may be received now. `None` if there is no memory.
+    fn streamed_room(&mut self, wanted: usize) -> Option<usize> {
+        let (held, buffer_bytes) = (self.read_buffer.len(), self.memory.buffer_bytes);
+        let more = wanted.min(READ_BYTES);
+        let is_granted = held + more <= MAX_READ_AHEAD_BYTES
+            && self.read_memory.grow_to((held + more).saturating_sub(buffer_bytes));
+        let limit = if is_granted { held + more } else { buffer_bytes };
+        Some(limit.saturating_sub(held).min(wanted)).filter(|&room| room > 0)
+    }
+
     /// Whether the client has sent bytes that are not decoded yet.
     pub fn has_unread_input(&self) -> bool {
         !self.read_buffer.is_empty() || !self.stream.is_idle()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,6 +20,7 @@
 //! - `admission`: limits on clients;
 //! - `client_connection`: a client's connection;
 //! - `request`: one request from its arrival to its answer;
+//! - `upload`: a long statement on its way from its client to its host;
 //! - `pipeline`: the requests of a connection, answered in order;
 //! - `session`: one client's session;
 //! - `client`: accepts clients;
@@ -61,6 +62,7 @@
 pub mod signals;
 pub mod statements;
 pub mod upgrade;
+pub mod upload;
 pub mod work;
 pub mod world;
 
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -3,7 +3,7 @@
 //! The handler must never choose a host or judge an outcome: it follows the directives of the core.
 
 use super::admission::Admission;
-use super::client_connection::{AbandonReason, ClientConnection, ReadResult};
+use super::client_connection::{AbandonReason, ClientConnection};
 use super::core::{Arrival, AttemptEnd, Core, Directive, Request, RequestHandle};
 use super::events::{LateTimes, RefusalReason};
 use super::hosts::{
@@ -12,9 +12,9 @@
 use super::memory::AnswerMemory;
 use super::scheduler;
 use super::statements::PlainRoute;
-use super::timeout_at;
+use super::upload::{IncomingStatement, LongUpload, UploadError};
 use super::work;
-use super::world::{self, READ_BYTES, Stream};
+use super::world::{self, Stream};
 use crate::invariants::{self, Violation};
 use crate::mutants;
 use crate::pg::{self, ErrorFields, Row};
@@ -138,35 +138,16 @@
 pub enum ClientLink<'l, 'a> {
     /// The statement is complete. The session goes on reading from the connection.
     Complete(&'l ClientWatch),
-    /// `remaining` bytes of the statement are still to come. The request handler reads them itself.
-    Uploading { connection: &'l mut ClientConnection<'a>, remaining: &'l mut usize },
+    /// A part of the statement is still to come, or to be passed on. The request handler reads it itself.
+    Uploading(IncomingStatement<'l, 'a>),
 }
 
 impl ClientLink<'_, '_> {
-    /// The bytes of the statement that are still to come.
+    /// The bytes of the statement that are not passed on yet.
     fn remaining(&self) -> usize {
         match self {
             ClientLink::Complete(_) => 0,
-            ClientLink::Uploading { remaining, .. } => **remaining,
-        }
-    }
-
-    /// Whether the client has closed the connection, as the operating system knows now.
-    fn is_disconnected(&self) -> bool {
-        match self {
-            ClientLink::Complete(watch) => watch.is_disconnected(),
-            ClientLink::Uploading { connection, .. } => connection.is_hung_up(),
-        }
-    }
-
-    /// Returns once the request is abandoned.
-    async fn until_abandoned(&mut self) -> AbandonReason {
-        match self {
-            ClientLink::Complete(watch) => watch.until_abandoned().await,
-            // The rest of a long statement stays unread until a host is chosen.
-            ClientLink::Uploading { connection, remaining } => {
-                connection.until_abandoned(**remaining == 0).await
-            }
+            ClientLink::Uploading(incoming) => incoming.remaining(),
         }
     }
 
@@ -179,14 +160,6 @@
     }
 }
 
-/// Why a long statement was not written to a host.
-enum UploadError {
-    /// There is no connection to the host; nothing has run. The outcome says why.
-    NoConnection(Outcome),
-    /// The client did not send the rest of the statement.
-    BrokenOff,
-}
-
 /// When the client of a statement, whose last byte was received at `received_at`, stops waiting. The time that the answer
 /// takes to the client is subtracted, since the answer has to arrive by then; at most half of the patience is.
 pub fn give_up_at(statement: &Statement, received_at: Micros, response_margin: Micros) -> Micros {
@@ -224,8 +197,8 @@
     Ended(CompletedAttempt),
     /// The module sent another directive.
     Directed(Directive),
-    /// The upload of a long statement ended. Holds when the client's patience began.
-    Uploaded(Result<(AttemptConnection, Instant), UploadError>),
+    /// The upload of a long statement ended.
+    Uploaded(Result<AttemptConnection, UploadError>),
     Abandoned(AbandonReason),
 }
 
@@ -317,7 +290,7 @@
         let mut last_outcome = None;
         let mut may_have_run = false;
         loop {
-            let directive = match self.next_directive(&handle, received_directive.take()).await {
+            let directive = match self.next_directive(&handle, statement, received_directive.take()).await {
                 Ok(directive) => directive,
                 Err(reason) => {
                     handle.abandon();
@@ -358,7 +331,7 @@
                     &partial_report,
                     self.memory
                 ));
-                self.until_attempt_event(attempt, &handle).await
+                self.until_attempt_event(attempt, &handle, statement).await
             };
             // The uploaded part of a statement isn't kept, so no other attempt can send it.
             let not_repeatable = self.client.remaining() < remaining_before;
@@ -366,12 +339,12 @@
                 // The client's speed must not count as the host's latency.
                 attempt.started = world::now();
             }
-            if let AttemptEvent::Uploaded(Ok((opened, waited_at))) = event {
-                let give_up_at = give_up_at(statement, core.clock.micros(waited_at), self.response_margin);
+            if let AttemptEvent::Uploaded(Ok(opened)) = event {
+                let give_up_at = self.give_up_at(request, statement);
                 on_written();
                 handle.complete(give_up_at);
                 let answer = pin!(hosts.read_answer(opened, give_up_at, &partial_report, self.memory));
-                event = self.until_attempt_event(answer, &handle).await;
+                event = self.until_attempt_event(answer, &handle, statement).await;
             }
             let outcome = event.outcome();
             may_have_run |= !outcome.never_ran();
@@ -415,11 +388,22 @@
         }
     }
 
+    /// When the client stops waiting, as far as its last byte has been received.
+    fn give_up_at(&self, request: &Request, statement: &Statement) -> Micros {
+        match &self.client {
+            ClientLink::Complete(_) => request.give_up_at,
+            ClientLink::Uploading(incoming) => {
+                let last_byte_at = self.core.clock.micros(incoming.last_byte_at());
+                give_up_at(statement, last_byte_at, self.response_margin)
+            }
+        }
+    }
+
     /// The next directive: the one `received` already, or the module's next. An error if the request is abandoned first.
     async fn next_directive(
-        &mut self, handle: &RequestHandle<'_>, received: Option<Directive>,
+        &mut self, handle: &RequestHandle<'_>, statement: &Statement, received: Option<Directive>,
     ) -> Result<Directive, AbandonReason> {
-        let abandoned = async { Err(self.client.until_abandoned().await) };
+        let abandoned = async { Err(self.until_abandoned(handle, statement).await) };
         let directed = async {
             match received {
                 Some(directive) => Ok(directive),
@@ -429,6 +413,24 @@
         future::or(abandoned, directed).await
     }
 
+    /// Returns once the request is abandoned. Meanwhile receives what is still to come of its statement, and tells the module
+    /// when the client's time has begun.
+    async fn until_abandoned(&mut self, handle: &RequestHandle<'_>, statement: &Statement) -> AbandonReason {
+        let incoming = match &mut self.client {
+            ClientLink::Complete(watch) => return watch.until_abandoned().await,
+            ClientLink::Uploading(incoming) => incoming,
+        };
+        if incoming.remaining() == 0 {
+            return incoming.connection.until_abandoned(true).await;
+        }
+        if let Some(reason) = incoming.receive_rest().await {
+            return reason;
+        }
+        let last_byte_at = self.core.clock.micros(incoming.last_byte_at());
+        handle.complete(give_up_at(statement, last_byte_at, self.response_margin));
+        incoming.connection.until_abandoned(false).await
+    }
+
     /// The answer to an abandoned request; `None` if its client has disconnected.
     fn abandoned_answer(&self, reason: AbandonReason, id: &str, any_written: bool) -> Option<PendingAnswer> {
         match reason {
@@ -513,39 +515,39 @@
     /// attempt starts.
     async fn until_attempt_event(
         &mut self, attempt: Pin<&mut impl Future<Output = CompletedAttempt>>, handle: &RequestHandle<'_>,
+        statement: &Statement,
     ) -> AttemptEvent {
         let ended = async { AttemptEvent::Ended(attempt.await) };
         let directed = async { AttemptEvent::Directed(handle.next_directive().await) };
-        let abandoned = async { AttemptEvent::Abandoned(self.client.until_abandoned().await) };
+        let abandoned = async { AttemptEvent::Abandoned(self.until_abandoned(handle, statement).await) };
         future::or(ended, future::or(directed, abandoned)).await
     }
 
-    /// Streams a long statement to the attempt's host. The module's next directive or the end of the stop's time ends the
-    /// upload.
+    /// Streams a long statement to the attempt's host. The module's next directive, a client that leaves before the statement
+    /// is begun, or the end of the stop's time ends the upload.
     async fn upload(
         &mut self, attempt: &Attempt, handle: &RequestHandle<'_>, statement: &Statement,
     ) -> AttemptEvent {
-        let (hosts, admission, response_margin) = (self.hosts, self.admission, self.response_margin);
+        let (core, hosts, admission) = (self.core, self.hosts, self.admission);
+        let response_margin = self.response_margin;
         let upload = async {
-            let client = &self.client;
-            let start_conditions = |now| AttemptContext {
-                client_disconnected: client.is_disconnected(),
-                request: handle.start_conditions(now),
+            let (opened, start) = match self.open_for_upload(attempt, handle, statement).await {
+                Ok(opened) => opened,
+                Err(event) => return event,
             };
-            let opened = hosts.open(attempt.host, &statement.id, attempt.deadline, start_conditions).await;
-            let (opened, start) = opened.map_err(UploadError::NoConnection)?;
-            match &mut self.client {
-                ClientLink::Uploading { connection, remaining } => {
-                    let mut upload = LongUpload { hosts, opened, statement, remaining, response_margin };
-                    upload.write_head(start).await?;
-                    let waited_at = upload.write_rest(connection).await?;
-                    Ok((upload.opened, waited_at))
-                }
+            let incoming = match &mut self.client {
+                ClientLink::Uploading(incoming) => incoming,
                 // A complete statement needs no upload.
-                ClientLink::Complete(_) => Ok((opened, world::now())),
-            }
+                ClientLink::Complete(_) => return AttemptEvent::Uploaded(Ok(opened)),
+            };
+            let clock = &core.clock;
+            let mut upload = LongUpload { hosts, clock, opened, statement, incoming, response_margin };
+            let written = match upload.write_head(start).await {
+                Ok(()) => upload.write_rest().await,
+                Err(e) => Err(e),
+            };
+            AttemptEvent::Uploaded(written.map(|()| upload.opened))
         };
-        let upload = async { AttemptEvent::Uploaded(upload.await) };
         let directed = async { AttemptEvent::Directed(handle.next_directive().await) };
         let cut_off = async {
             admission.until_cut_off().await;
@@ -553,6 +555,28 @@
         };
         future::or(upload, future::or(directed, cut_off)).await
     }
+
+    /// Opens a connection for a long statement, and receives the statement meanwhile. An error is what ends the attempt.
+    async fn open_for_upload(
+        &mut self, attempt: &Attempt, handle: &RequestHandle<'_>, statement: &Statement,
+    ) -> Result<(AttemptConnection, ApprovedStart), AttemptEvent> {
+        let stream = match &self.client {
+            ClientLink::Uploading(incoming) => Some(incoming.connection.stream()),
+            ClientLink::Complete(_) => None,
+        };
+        let start_conditions = |now| AttemptContext {
+            client_disconnected: stream.as_ref().is_some_and(|stream| stream.is_hung_up()),
+            request: handle.start_conditions(now),
+        };
+        let hosts = self.hosts;
+        let opened = async {
+            let opened = hosts.open(attempt.host, &statement.id, attempt.deadline, start_conditions).await;
+            opened.map_err(|outcome| AttemptEvent::Uploaded(Err(UploadError::NoConnection(outcome))))
+        };
+        let abandoned = async { Err(AttemptEvent::Abandoned(self.until_abandoned(handle, statement).await)) };
+        // The client's connection is polled first. Guards against an attempt that starts for a client that has left.
+        future::or(abandoned, opened).await
+    }
 }
 
 fn complete(answer: FinalAnswer) -> Option<PendingAnswer> {
@@ -567,64 +591,6 @@
     }
 }
 
-/// A long statement that is written to its host as fast as its client sends it.
-struct LongUpload<'u> {
-    hosts: &'u Hosts,
-    opened: AttemptConnection,
-    statement: &'u Statement,
-    /// Bytes of the statement that are still to come.
-    remaining: &'u mut usize,
-    /// The time taken off the client's deadline for sending the answer back.
-    response_margin: Micros,
-}
-
-impl LongUpload<'_> {
-    /// Writes the beginning of the statement.
-    async fn write_head(&mut self, start: ApprovedStart) -> Result<(), UploadError> {
-        let mut piece = Vec::new();
-        pg::put_long_query(&mut piece, self.statement.text(), *self.remaining);
-        self.write(&piece).await?;
-        // The host receives the client's own patience, which begins with the last byte: no limit applies to it yet.
-        self.hosts.check_started(&self.opened, &start, &self.statement.id, 0, Micros::MAX);
-        Ok(())
-    }
-
-    /// Reads the rest of the statement from the client and writes it to the host, up to its last byte. Returns when the
-    /// client's patience began. Guards against a host that reads slowly and delays the answer: what waits in sockets may
-    /// end with the client's last byte, so the client's patience counts from the last wait for its bytes.
-    async fn write_rest(&mut self, connection: &mut ClientConnection<'_>) -> Result<Instant, UploadError> {
-        let patience = Duration::from_micros(give_up_at(self.statement, 0, self.response_margin));
-        let mut waited_at = world::now();
-        let mut piece = Vec::new();
-        while *self.remaining > 0 {
-            let waits = !connection.has_unread_input();
-            match connection.read_more().await {
-                Ok(ReadResult::Bytes) => {}
-                Ok(other) => {
-                    // The connection ends, whether or not the error can be written to the client.
-                    let _ = connection.end_session(other).await;
-                    return Err(UploadError::BrokenOff);
-                }
-                Err(_) => return Err(UploadError::BrokenOff),
-            }
-            if waits {
-                waited_at = world::now();
-            }
-            piece.clear();
-            let piece_bytes = READ_BYTES.min(*self.remaining);
-            *self.remaining -= connection.read_buffer.move_to(&mut piece, piece_bytes);
-            let written = timeout_at(waited_at + patience, self.write(&piece)).await;
-            written.unwrap_or(Err(UploadError::NoConnection(Outcome::ConnectFailed)))?;
-        }
-        Ok(waited_at)
-    }
-
-    async fn write(&mut self, piece: &[u8]) -> Result<(), UploadError> {
-        let written = self.opened.write(piece).await;
-        written.map_err(|_| UploadError::NoConnection(Outcome::ConnectFailed))
-    }
-}
-
 /// How the streaming of a value to the client ended.
 pub enum StreamResult {
     /// The client has the value and the end of the command.
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -16,8 +16,9 @@
 use super::request_ids::IdClaim;
 use super::scheduler;
 use super::statements::{PlainRoute, StatementRefusal, Statements};
+use super::upload::IncomingStatement;
 use super::work;
-use super::world::Stream;
+use super::world::{self, Stream};
 use crate::Micros;
 use crate::invariants::{self, CloseReason, Violation};
 use crate::mutants;
@@ -31,7 +32,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The open requests of one connection may need at most this fraction (1/8) of the connections to hosts, so that several
 /// clients with many open requests leave connections for others.
@@ -109,6 +110,8 @@
     deferred: Option<NextItem<'a>>,
     /// The request whose turn it is has no answer yet.
     unanswered: bool,
+    /// When the last answer was due.
+    answered_at: Option<Instant>,
     /// The user and the database of the startup message. Plain statements may be switched on while the session is open.
     user_and_database: Option<Box<(String, String)>>,
     /// The writes of this session's plain statements, which its reads have to see.
@@ -159,6 +162,7 @@
             pipeline: Pipeline::new(watch),
             deferred: None,
             unanswered: false,
+            answered_at: None,
             user_and_database: None,
             own_writes: OwnWrites::default(),
             transaction: TransactionState::default(),
@@ -585,16 +589,20 @@
     async fn serve_long_request(
         &mut self, beginning: String, received_at: Micros, mut remaining: usize,
     ) -> io::Result<bool> {
+        // The time spent behind earlier requests of the connection does not count.
+        let clock = &self.context.core.clock;
+        let begun_at = self.answered_at.map_or(received_at, |at| received_at.max(clock.micros(at)));
         if !self.answer_in_refused_block(&beginning) {
             let memory = self.connection.memory.received.reserve_nothing();
-            match self.decode_request(beginning, received_at, remaining, memory) {
+            match self.decode_request(beginning, begun_at, remaining, memory) {
                 Ok(Some(decoded)) => {
                     self.connection.received_request = true;
                     self.unanswered = true;
                     self.connection.flush().await?;
                     let memory = self.connection.memory.answer();
-                    let client =
-                        ClientLink::Uploading { connection: &mut self.connection, remaining: &mut remaining };
+                    let begun_at = self.context.core.clock.instant(begun_at);
+                    let incoming = IncomingStatement::new(&mut self.connection, &mut remaining, begun_at);
+                    let client = ClientLink::Uploading(incoming);
                     let mut handler = self.context.request_handler(client, &memory);
                     let answer =
                         handler.serve(&decoded.request, &decoded.statement, decoded.plain.as_ref()).await;
@@ -646,6 +654,7 @@
             return Ok(false);
         };
         self.unanswered = false;
+        self.answered_at = Some(world::now());
         if let Some(route) = plain {
             self.record_plain(route, &answer);
         }
--- a/src/pg.rs
+++ b/src/pg.rs
@@ -755,11 +755,15 @@
     put_message(out, b'I', |_| {});
 }
 
-/// Appends the beginning of a statement; the caller writes the `left` bytes that follow.
-pub fn put_long_query(out: &mut Vec<u8>, beginning: &str, left: usize) {
-    out.push(b'Q');
-    out.extend(((4 + beginning.len() + left) as u32).to_be_bytes());
-    out.extend(beginning.as_bytes());
+/// Appends the beginning of a statement, with `deadline_ms` as the client's remaining time; the caller writes the `left` bytes
+/// that follow.
+pub fn put_long_query(out: &mut Vec<u8>, statement: &Statement, deadline_ms: u64, left: usize) {
+    let start = out.len();
+    let rest = put_query_head(out, statement, deadline_ms);
+    out.extend(rest);
+    // The end of the text is among the bytes that follow.
+    let length = (out.len() - start - 1 + left) as u32;
+    out[start + 1..start + MESSAGE_HEAD_BYTES].copy_from_slice(&length.to_be_bytes());
 }
 
 /// Appends a result up to the value of its only row; the caller writes the `value_len` bytes of the value that follow.
--- a/src/state.rs
+++ b/src/state.rs
@@ -789,7 +789,10 @@
     now: Micros,
 ) {
     let Some(request) = requests.get_mut(&id).filter(|request| request.is_incomplete) else { return };
-    (request.is_incomplete, request.arrived, request.give_up_at) = (false, now, give_up_at);
+    // The last byte may have arrived before now.
+    let patience = request.give_up_at.saturating_sub(request.arrived);
+    let arrived = give_up_at.saturating_sub(patience).clamp(request.arrived, now.max(request.arrived));
+    (request.is_incomplete, request.arrived, request.give_up_at) = (false, arrived, give_up_at);
     for attempt in request.attempts.iter_mut().filter(|attempt| attempt.outcome.is_none()) {
         attempt.sent = now;
         hosts[attempt.host].in_flight += 1;
