Reading a plain statement takes work in proportion to its bytes, whatever they are

Cause: the lexer looked at a run of symbols up to its end for each sign that it left out at the end of an operator, so a run of n signs cost n squared. Found by the new tests: comments were skipped by recursion inside the lexer, and a run of them used up the stack (abort in a thread with 1 MB; sillfold explain with 256 KB).

Change: the lexer remembers up to where a run was looked at. Comments are tokens that readers pass over. First words are scanned without a copy of all tokens, reasons are composed only where they are used, unknown operators count against the limit on operators. What is looked at is counted.

The parser's work is not counted: its input is bounded.

--- a/crates/sql/src/analysis.rs
+++ b/crates/sql/src/analysis.rs
@@ -128,4 +128,11 @@
             (self.effect, self.reason) = (effect, reason.into());
         }
     }
+
+    /// The same, where the reason is a text that is composed only if it is used.
+    pub(crate) fn raise_with(&mut self, effect: Effect, reason: impl FnOnce() -> String) {
+        if effect > self.effect {
+            (self.effect, self.reason) = (effect, reason().into());
+        }
+    }
 }
--- a/crates/sql/src/analyze.rs
+++ b/crates/sql/src/analyze.rs
@@ -26,6 +26,12 @@
 
 /// Analyzes a shape.
 pub fn analyze(shape: &str, functions: &Functions, limits: &ParseLimits) -> Analysis {
+    analyze_counting(shape, functions, limits).0
+}
+
+/// The same, with the work of the scan: how many tokens were looked at, each as often as it was. The work of the parser is
+/// not counted; the limits bound what it is given.
+pub fn analyze_counting(shape: &str, functions: &Functions, limits: &ParseLimits) -> (Analysis, u64) {
     let mut scan = TokenScan::new(functions);
     let mut too_deep = false;
     if shape.len() <= limits.max_shape_bytes {
@@ -39,6 +45,7 @@
         too_deep = true;
         scan.analysis.raise(Effect::Write, "it is nested more deeply than what is read");
     }
+    let steps = scan.steps;
     let mut analysis = scan.analysis;
     // Utility statements are identified by their first words alone; the parser supports few of them.
     let parse =
@@ -61,7 +68,7 @@
     if analysis.reason.is_empty() {
         analysis.reason = "a query of known functions only".into();
     }
-    analysis
+    (analysis, steps)
 }
 
 impl crate::StatementReader {
--- a/crates/sql/src/lex.rs
+++ b/crates/sql/src/lex.rs
@@ -2,7 +2,7 @@
 //! own scanner has them begin and end. The reader must never decide what a statement does, and must drop nothing that the
 //! effect depends on: only literals, comments, white space, and the repeated rows and elements of lists are left out.
 
-use logos::{Lexer, Logos, Skip};
+use logos::{Lexer, Logos};
 use std::ops::Range;
 
 /// Why a text is not a statement under any setting of the server.
@@ -34,10 +34,11 @@
 #[derive(Logos, Clone, Copy, Debug, PartialEq, Eq)]
 // Matching bytes instead of characters is safe: every byte beyond ASCII belongs to a word, a name, a string or a comment,
 // so a UTF-8 text is never split inside a character.
-#[logos(error = Unterminated, utf8 = false)]
+#[logos(error = Unterminated, utf8 = false, extras = LexerState)]
 #[logos(skip r"[ \t\r\n\x0b\x0c]+")]
 pub(crate) enum Token {
-    #[regex(r"--[^\r\n]*", logos::skip, allow_greedy = true)]
+    /// Its readers pass it over. The lexer must not: it would call itself for each comment of a run, and run out of stack.
+    #[regex(r"--[^\r\n]*", allow_greedy = true)]
     #[token("/*", block_comment)]
     Comment,
     #[regex(r"[A-Za-z_\x80-\xff]", word)]
@@ -92,6 +93,22 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Unterminated;
 
+/// What the lexer keeps from token to token.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LexerState {
+    /// Up to here each symbol is a sign that is an operator of its own: they are the end of a run of symbols that was looked
+    /// at before.
+    signs_end: usize,
+    /// The bytes that were looked at, each as often as it was.
+    pub steps: u64,
+}
+
+impl LexerState {
+    fn count(&mut self, bytes: usize) {
+        self.steps += bytes as u64;
+    }
+}
+
 type TokenLexer<'s> = Lexer<'s, Token>;
 
 /// Whether a byte may follow the first byte of a word.
@@ -112,11 +129,13 @@
 /// the lexer's state machine.
 fn word(lex: &mut TokenLexer) {
     let rest = lex.remainder();
-    lex.bump(rest.iter().position(|&b| !IS_WORD_BYTE[usize::from(b)]).unwrap_or(rest.len()));
+    let length = rest.iter().position(|&b| !IS_WORD_BYTE[usize::from(b)]).unwrap_or(rest.len());
+    lex.extras.count(length);
+    lex.bump(length);
 }
 
 /// Consumes the rest of a block comment. Block comments nest in PostgreSQL, unlike in most languages.
-fn block_comment(lex: &mut TokenLexer) -> Result<Skip, Unterminated> {
+fn block_comment(lex: &mut TokenLexer) -> Result<(), Unterminated> {
     let bytes = lex.remainder();
     let (mut depth, mut at) = (1usize, 0);
     while depth > 0 {
@@ -126,8 +145,9 @@
             _ => at += 1,
         }
     }
+    lex.extras.count(at);
     lex.bump(at);
-    Ok(Skip)
+    Ok(())
 }
 
 /// Consumes the rest of a quoted name, in which a doubled quote stands for one.
@@ -137,6 +157,7 @@
     loop {
         at += memchr::memchr(b'"', &bytes[at..]).ok_or(Unterminated)? + 1;
         if bytes.get(at) != Some(&b'"') {
+            lex.extras.count(at);
             lex.bump(at);
             return Ok(());
         }
@@ -150,21 +171,25 @@
 /// The position after the opening quote of a string's next part. PostgreSQL joins parts that are separated by white space
 /// with at least one line end, which may include `--` comments. Guards against `E'a'` and `'b\'c'` on two lines being read
 /// as two strings, of which the second would end elsewhere.
-fn next_part(bytes: &[u8], mut at: usize) -> Option<usize> {
+fn next_part(bytes: &[u8], from: usize, state: &mut LexerState) -> Option<usize> {
     let mut has_line_end = false;
-    loop {
-        match bytes.get(at)? {
-            b'\n' | b'\r' => has_line_end = true,
-            b' ' | b'\t' | 0x0b | 0x0c => {}
-            b'-' if bytes.get(at + 1) == Some(&b'-') => {
-                at += bytes[at..].iter().position(|b| matches!(b, b'\n' | b'\r'))?;
+    let mut at = from;
+    let next = loop {
+        match bytes.get(at) {
+            Some(b'\n' | b'\r') => has_line_end = true,
+            Some(b' ' | b'\t' | 0x0b | 0x0c) => {}
+            Some(b'-') if bytes.get(at + 1) == Some(&b'-') => {
+                let is_line_end = |b: &u8| matches!(b, b'\n' | b'\r');
+                at += bytes[at..].iter().position(is_line_end).unwrap_or(bytes.len() - at);
                 continue;
             }
-            b'\'' if has_line_end => return Some(at + 1),
-            _ => return None,
+            Some(b'\'') if has_line_end => break Some(at + 1),
+            _ => break None,
         }
         at += 1;
-    }
+    };
+    state.count(at - from);
+    next
 }
 
 /// Consumes the rest of a string in which backslashes have no meaning. Returns true if the string would end elsewhere with
@@ -182,9 +207,11 @@
         if bytes.get(at) == Some(&b'\'') {
             at += 1;
             segment_start = at;
-        } else if let Some(next) = next_part(bytes, at) {
+        } else if let Some(next) = next_part(bytes, at, &mut lex.extras) {
             (at, segment_start) = (next, next);
         } else {
+            // Each byte is looked at for a quote, and again if it is one of the backslashes before a quote.
+            lex.extras.count(2 * at);
             lex.bump(at);
             return Ok(ambiguous);
         }
@@ -199,13 +226,14 @@
         match bytes.get(at).ok_or(Unterminated)? {
             b'\\' => at += 2,
             b'\'' if bytes.get(at + 1) == Some(&b'\'') => at += 2,
-            b'\'' => match next_part(bytes, at + 1) {
+            b'\'' => match next_part(bytes, at + 1, &mut lex.extras) {
                 Some(next) => at = next,
                 None => break,
             },
             _ => at += 1,
         }
     }
+    lex.extras.count(at + 1);
     lex.bump(at + 1);
     Ok(())
 }
@@ -217,6 +245,8 @@
     loop {
         at += memchr::memchr(b'$', &rest[at..]).ok_or(Unterminated)?;
         if rest[at..].starts_with(tag) {
+            // The tag has no dollar sign but its first and last byte, so a comparison ends at the next one at the latest.
+            lex.extras.count(2 * (at + tag.len()));
             lex.bump(at + tag.len());
             return Ok(());
         }
@@ -225,18 +255,31 @@
 }
 
 /// Consumes the rest of an operator, as PostgreSQL's scanner does: it ends before a comment, and has no sign at its end
-/// unless it contains a character that no operator of standard SQL has.
+/// unless it contains a character that no operator of standard SQL has. The signs that are left out at the end of a run of
+/// symbols are operators of one sign each. Guards against a run of signs that is looked at anew for each of them.
 fn operator(lex: &mut TokenLexer) {
-    let bytes = &lex.source()[lex.span().start..];
-    let is_symbol = |b: &&u8| b"+-*/<>=~!@#%^&|`?".contains(b);
-    let symbols = &bytes[..bytes.iter().take_while(is_symbol).count()];
-    let comment = symbols.windows(2).skip(1).position(|w| w == b"--" || w == b"/*");
-    let mut length = comment.map_or(symbols.len(), |at| at + 1);
-    let non_standard = symbols[..length].iter().any(|b| b"~!@#%^&|`?".contains(b));
-    while !non_standard && length > 1 && matches!(symbols[length - 1], b'+' | b'-') {
-        length -= 1;
+    let start = lex.span().start;
+    if start < lex.extras.signs_end {
+        return;
     }
-    lex.bump(length - 1);
+    let bytes = &lex.source()[start..];
+    let symbols = &bytes[..symbols_before_comment(bytes)];
+    lex.extras.count(3 * symbols.len());
+    let is_non_standard = |b: &u8| b"~!@#%^&|`?".contains(b);
+    if symbols.iter().any(is_non_standard) {
+        return lex.bump(symbols.len() - 1);
+    }
+    lex.extras.signs_end = start + symbols.len();
+    let last_other = symbols.iter().rposition(|b| !matches!(b, b'+' | b'-')).unwrap_or(0);
+    lex.bump(last_other);
+}
+
+/// The length of the run of symbols at the beginning of `bytes`, up to a comment behind its first symbol.
+fn symbols_before_comment(bytes: &[u8]) -> usize {
+    let is_symbol = |b: &u8| b"+-*/<>=~!@#%^&|`?".contains(b);
+    let run = bytes.iter().position(|b| !is_symbol(b)).unwrap_or(bytes.len());
+    let comment = bytes[..run].windows(2).skip(1).position(|w| w == b"--" || w == b"/*");
+    comment.map_or(run, |at| at + 1)
 }
 
 /// A literal that a placeholder of the shape stands for.
@@ -290,6 +333,8 @@
     unfolded_groups: usize,
     statement_count: usize,
     quoting_is_ambiguous: bool,
+    /// The bytes that were looked at in the statement that was read last, each as often as it was.
+    steps: u64,
 }
 
 impl StatementReader {
@@ -315,6 +360,11 @@
         self.quoting_is_ambiguous
     }
 
+    /// The work of the last reading: how many bytes were looked at, each as often as it was, and how many tokens were added.
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+
     /// Releases the buffers if the shape's has grown beyond this many bytes. Guards against one long statement whose memory
     /// is kept for good.
     pub fn shrink(&mut self, bytes: usize) {
@@ -337,7 +387,7 @@
         self.literals.clear();
         self.open_groups.clear();
         (self.statement_count, self.quoting_is_ambiguous, self.last_closed) = (0, false, None);
-        self.unfolded_groups = 0;
+        (self.unfolded_groups, self.steps) = (0, 0);
         let mut in_statement = false;
         let mut creates = false;
         // Open BEGIN ATOMIC and CASE blocks, each of which an END closes.
@@ -346,8 +396,14 @@
             return Err(ReadError::Nul);
         }
         let mut lex = Token::lexer(text.as_bytes());
+        let mut token_end = 0;
         while let Some(token) = lex.next() {
+            self.steps += 1 + std::mem::take(&mut lex.extras.steps) + (lex.span().end - token_end) as u64;
+            token_end = lex.span().end;
             let token = token.map_err(|Unterminated| ReadError::Unterminated)?;
+            if token == Token::Comment {
+                continue;
+            }
             if token == Token::Semicolon && atomic_depth == 0 {
                 (in_statement, creates) = (false, false);
                 continue;
@@ -500,6 +556,9 @@
             ClosedGroup { begin: group.begin, end: self.shape.len(), first_literal: group.first_literal };
         let outer = self.open_groups.last_mut();
         let before = outer.as_ref().map_or(self.last_closed, |o| o.last_closed);
+        if before.is_some_and(|before| before.end - before.begin == closed.end - closed.begin) {
+            self.steps += (closed.end - closed.begin) as u64;
+        }
         let kept = match before.filter(|b| is_repeated(&self.shape, b, &closed)) {
             Some(before) => {
                 let count = self.literals.len() - closed.first_literal;
--- a/crates/sql/src/lib.rs
+++ b/crates/sql/src/lib.rs
@@ -25,6 +25,6 @@
 mod tree;
 
 pub use analysis::{Analysis, CostFeatures, Effect, KeyLiteral, TransactionControl, Unsupported};
-pub use analyze::{ParseLimits, analyze};
+pub use analyze::{ParseLimits, analyze, analyze_counting};
 pub use functions::{FunctionAdditions, FunctionKind, Functions};
 pub use lex::{Literal, ReadError, StatementReader, literal_text};
--- a/crates/sql/src/scan.rs
+++ b/crates/sql/src/scan.rs
@@ -114,12 +114,51 @@
     pub max_depth: usize,
     /// Operators and joining words, in the statement that has the most.
     pub operators: usize,
+    /// The tokens that were looked at, each as often as it was.
+    pub steps: u64,
+}
+
+/// The most tokens of a common table's list of columns.
+const MAX_COLUMN_TOKENS: usize = 64;
+
+/// The number of words by which a statement is told apart.
+const FIRST_WORDS: usize = 4;
+
+/// The first words of a statement, behind its opening parentheses.
+#[derive(Default)]
+struct FirstWords<'s> {
+    words: [&'s str; FIRST_WORDS],
+    count: usize,
+    /// Whether the word TO stands in the statement.
+    has_to: bool,
+}
+
+impl<'s> FirstWords<'s> {
+    fn add(&mut self, token: Token, text: &'s str) {
+        self.has_to |= token == Token::Word && text == "to";
+        let is_opening = self.count == 0 && token == Token::OpenParen;
+        if !is_opening && self.count < FIRST_WORDS {
+            self.words[self.count] = text;
+            self.count += 1;
+        }
+    }
+
+    fn words(&self) -> &[&'s str] {
+        &self.words[..self.count]
+    }
 }
 
 impl<'f> TokenScan<'f> {
     /// A scan before its first token.
     pub fn new(functions: &'f Functions) -> TokenScan<'f> {
-        TokenScan { functions, analysis: Analysis::new(), utility: false, max_depth: 0, operators: 0 }
+        TokenScan {
+            functions,
+            analysis: Analysis::new(),
+            utility: false,
+            max_depth: 0,
+            operators: 0,
+            steps: 0,
+        }
     }
 
     /// Scans all tokens of a shape.
@@ -134,28 +173,33 @@
         self.operators = max_operators;
     }
 
-    /// Scans only the first words of each statement.
+    /// Scans only the first words of each statement. Holds no more of the shape than these.
     pub fn run_first_words(&mut self, shape: &str) {
-        let tokens: Vec<(Token, &str)> = tokens(shape).collect();
-        for statement in tokens.split(|t| t.0 == Token::Semicolon) {
-            self.scan_first_words(statement);
+        let mut words = FirstWords::default();
+        for (token, text) in tokens(shape) {
+            self.steps += 1;
+            if token == Token::Semicolon {
+                self.scan_first_words(&words);
+                words = FirstWords::default();
+            } else {
+                words.add(token, text);
+            }
         }
+        self.scan_first_words(&words);
     }
 
     /// Scans the first words of a statement. Returns whether the statement may be a query or a change of rows, so that the
     /// rest matters.
-    fn scan_first_words(&mut self, statement: &[(Token, &str)]) -> bool {
-        let begin = statement.iter().position(|t| t.0 != Token::OpenParen).unwrap_or(statement.len());
-        let words: Vec<&str> = statement[begin..].iter().take(4).map(|t| t.1).collect();
+    fn scan_first_words(&mut self, statement: &FirstWords<'_>) -> bool {
+        let words = statement.words();
         let first = words.first().copied().unwrap_or("");
         let second = words.get(1).copied().unwrap_or("");
         match first {
             _ if TRANSACTION_WORDS.contains(&first) || (first, second) == ("prepare", "transaction") => {
-                let has_to = statement[begin..].iter().any(|t| (t.0, t.1) == (Token::Word, "to"));
                 let control = match first {
                     _ if second == "prepared" => TransactionControl::Within,
                     "begin" | "start" => TransactionControl::Begin,
-                    "rollback" if has_to => TransactionControl::Within,
+                    "rollback" if statement.has_to => TransactionControl::Within,
                     "commit" | "end" | "abort" | "rollback" | "prepare" => TransactionControl::End,
                     _ => TransactionControl::Within,
                 };
@@ -165,14 +209,15 @@
                 if !has_control || control != TransactionControl::Within {
                     self.analysis.unsupported = Some(Unsupported::Transaction(control));
                 }
-                self.analysis
-                    .raise(Effect::Session, format!("{} belongs to a transaction", first.to_uppercase()));
+                self.analysis.raise_with(Effect::Session, || {
+                    format!("{} belongs to a transaction", first.to_uppercase())
+                });
                 false
             }
             _ if SESSION_WORDS.contains(&first) => {
                 self.analysis.unsupported = self.analysis.unsupported.or(Some(Unsupported::Session));
                 self.analysis
-                    .raise(Effect::Session, format!("{} belongs to a session", first.to_uppercase()));
+                    .raise_with(Effect::Session, || format!("{} belongs to a session", first.to_uppercase()));
                 false
             }
             "create" if words.iter().any(|w| ["temp", "temporary", "local"].contains(w)) => {
@@ -186,15 +231,14 @@
                 false
             }
             "insert" | "update" | "delete" | "merge" => {
-                self.analysis.raise(Effect::Write, format!("{} changes rows", first.to_uppercase()));
+                self.analysis.raise_with(Effect::Write, || format!("{} changes rows", first.to_uppercase()));
                 true
             }
             _ if QUERY_WORDS.contains(&first) => true,
             _ => {
                 self.utility = true;
-                let word: String = first.chars().take(40).collect();
-                self.analysis
-                    .raise(Effect::Write, format!("{} is not known to be a query", word.to_uppercase()));
+                let word = || first.chars().take(40).collect::<String>().to_uppercase();
+                self.analysis.raise_with(Effect::Write, || format!("{} is not known to be a query", word()));
                 false
             }
         }
@@ -202,7 +246,10 @@
 
     /// Scans one statement.
     fn scan_statement(&mut self, tokens: &[(Token, &str)]) {
-        if !self.scan_first_words(tokens) {
+        self.steps += tokens.len() as u64;
+        let mut words = FirstWords::default();
+        tokens.iter().for_each(|&(token, text)| words.add(token, text));
+        if !self.scan_first_words(&words) {
             return;
         }
         let first = tokens.iter().find(|t| t.0 != Token::OpenParen).map_or("", |t| t.1);
@@ -215,8 +262,9 @@
                 (1..tokens.len()).map(word).find(|w| ["execute", "prepare", "declare"].contains(w));
             if let Some(session_word) = session_word {
                 self.analysis.unsupported = self.analysis.unsupported.or(Some(Unsupported::Session));
-                self.analysis
-                    .raise(Effect::Session, format!("{} belongs to a session", session_word.to_uppercase()));
+                self.analysis.raise_with(Effect::Session, || {
+                    format!("{} belongs to a session", session_word.to_uppercase())
+                });
             }
             if (1..tokens.len()).any(|i| ["create", "refresh"].contains(&word(i))) {
                 self.analysis.raise(Effect::Write, "what is explained creates something");
@@ -240,7 +288,8 @@
                     continue;
                 }
                 Token::Operator if !BUILTIN_OPERATORS.contains(&text) => {
-                    self.analysis.raise(Effect::Write, format!("the operator {text} is not known"));
+                    self.operators += 1;
+                    self.analysis.raise_with(Effect::Write, || format!("the operator {text} is not known"));
                 }
                 Token::Operator | Token::CompoundSymbol => self.operators += 1,
                 Token::Word => self.scan_word(tokens, i, only_explained),
@@ -279,8 +328,7 @@
                 self.analysis.raise(Effect::Write, "the sampling method is not known");
             }
             _ if CHANGING_WORDS.contains(&text) && !only_explained => {
-                let word = text.to_uppercase();
-                self.analysis.raise(Effect::Write, format!("{word} stands in it"));
+                self.analysis.raise_with(Effect::Write, || format!("{} stands in it", text.to_uppercase()));
             }
             _ => {}
         }
@@ -294,7 +342,8 @@
         }
         let qualified_name = name_parts(tokens, i).join(".");
         if self.functions.has_effects(unquoted(tokens[i].1)) || self.functions.has_effects(&qualified_name) {
-            self.analysis.raise(Effect::Write, format!("{qualified_name} is listed as having effects"));
+            self.analysis
+                .raise_with(Effect::Write, || format!("{qualified_name} is listed as having effects"));
         }
     }
 
@@ -308,6 +357,7 @@
             return;
         }
         let parts = name_parts(tokens, i);
+        self.steps += parts.len() as u64;
         let begin = i + 2 - parts.len() * 2;
         let (before, before_text) = begin.checked_sub(1).map_or((Token::Other, ""), |b| tokens[b]);
         let is_single_word = token == Token::Word && parts.len() == 1;
@@ -339,22 +389,23 @@
         match self.functions.kind(&parts) {
             Some(FunctionKind::SideEffectFree | FunctionKind::Aggregate) => {}
             Some(FunctionKind::Session) => {
-                let name = parts.join(".");
-                self.analysis.raise(Effect::Session, format!("{name}() belongs to a session"));
+                self.analysis
+                    .raise_with(Effect::Session, || format!("{}() belongs to a session", parts.join(".")));
             }
             None => {
-                let name: String = parts.join(".").chars().take(80).collect();
-                self.analysis.raise(Effect::Write, format!("{name}() is not known to be free of effects"));
+                let name = || parts.join(".").chars().take(80).collect::<String>();
+                self.analysis
+                    .raise_with(Effect::Write, || format!("{}() is not known to be free of effects", name()));
             }
         }
     }
 
     /// Whether the parentheses that open here contain the columns of a common table, as in `x (a, b) as (select`. The column
     /// definitions of a function, as in `f(x) as (a int`, never begin with the words after `as (`, which are reserved.
-    fn is_common_table(&self, tokens: &[(Token, &str)], open: usize) -> bool {
-        let Some(close) = tokens[open..].iter().take(64).position(|t| t.0 == Token::CloseParen) else {
-            return false;
-        };
+    fn is_common_table(&mut self, tokens: &[(Token, &str)], open: usize) -> bool {
+        let close = tokens[open..].iter().take(MAX_COLUMN_TOKENS).position(|t| t.0 == Token::CloseParen);
+        self.steps += close.unwrap_or(MAX_COLUMN_TOKENS) as u64;
+        let Some(close) = close else { return false };
         let is_name_or_comma =
             |t: &(Token, &str)| matches!(t.0, Token::Word | Token::QuotedName | Token::Comma);
         let rest: Vec<&str> = tokens[open + close + 1..].iter().take(5).map(|t| t.1).collect();
--- a/crates/sql/src/tree.rs
+++ b/crates/sql/src/tree.rs
@@ -11,6 +11,7 @@
 };
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
+use std::collections::HashSet;
 use std::ops::ControlFlow;
 
 /// The deepest nesting of expressions and queries that the parser accepts.
@@ -80,7 +81,7 @@
     functions: &'f Functions,
     analysis: Analysis,
     /// The names of common table expressions.
-    common_tables: Vec<Box<str>>,
+    common_tables: HashSet<Box<str>>,
     /// Whether the statement is only explained, so that its changes of rows are not made.
     only_explained: bool,
     /// The nesting of statements, 1 in the outermost one.
@@ -91,7 +92,7 @@
     fn new(functions: &'f Functions) -> TreeWalk<'f> {
         let features = CostFeatures { limited: true, ..CostFeatures::default() };
         let analysis = Analysis { features, ..Analysis::new() };
-        TreeWalk { functions, analysis, common_tables: Vec::new(), only_explained: false, depth: 0 }
+        TreeWalk { functions, analysis, common_tables: HashSet::new(), only_explained: false, depth: 0 }
     }
 
     /// Analyzes what only the outermost statement determines: its keys, and whether its result is limited.
