A pipelined write is over when its host has committed it, not at its value's head

Cause: the pipeline took a request for answered as soon as there was an answer to keep for its turn, also the head of a value that is streamed later. At its turn the same request counted as open.

Change: one predicate, PendingAnswer::is_over, decides in the pipeline and at a request's turn; a streamed answer of any kind is open until its end.

--- a/src/net/pipeline.rs
+++ b/src/net/pipeline.rs
@@ -1,8 +1,8 @@
 //! The requests of one connection that were read behind another, in their order. The pipeline serves them, and keeps their
 //! answers until their turn. It must never read or write a connection, nor choose a host.
 //!
-//! A request starts as soon as there is memory for its answer and it doesn't depend on an unanswered one before it: two
-//! writes, or a write and another request of the same group, run one after the other; all others run at the same time.
+//! A request starts as soon as there is memory for its answer and it doesn't depend on an open one before it, which is over
+//! once its whole answer has come from its host: two writes, or a write and another request of the same group, run one after the other; all others run at the same time.
 
 use super::client_connection::AbandonReason;
 use super::memory::{AnswerMemory, Reservation};
@@ -65,8 +65,12 @@
 }
 
 impl PipelineEntry<'_> {
-    fn is_answered(&self) -> bool {
-        matches!(self.progress, Progress::Answered(_))
+    /// Whether nothing of the request is open any more, so that those which have to follow it may start.
+    fn is_over(&self) -> bool {
+        match &self.progress {
+            Progress::Unanswered { .. } => false,
+            Progress::Answered(answer) => answer.as_ref().is_none_or(PendingAnswer::is_over),
+        }
     }
 
     /// The bytes of memory that the request holds: its statement, or its answer once there is one.
@@ -138,7 +142,7 @@
         next
     }
 
-    /// Polls all requests that have started or may start now; `head` is the open request whose turn it is, if there is one.
+    /// Polls all requests that have started or may start now; `head` is the request whose turn it is, if it is open.
     pub fn poll(&mut self, head: Option<&RequestScope>, context: &mut Context<'_>) {
         for index in 0..self.entries.len() {
             if work::has_to_pause() {
@@ -151,11 +155,11 @@
         }
     }
 
-    /// Whether the request at `index` depends on no unanswered one before it.
+    /// Whether the request at `index` depends on no open one before it.
     fn may_start(&self, index: usize, head: Option<&RequestScope>) -> bool {
         let scope = &self.entries[index].scope;
-        let unanswered = self.entries.range(..index).filter(|earlier| !earlier.is_answered());
-        let mut earlier = head.into_iter().chain(unanswered.map(|e| &e.scope));
+        let open = self.entries.range(..index).filter(|earlier| !earlier.is_over());
+        let mut earlier = head.into_iter().chain(open.map(|e| &e.scope));
         !earlier.any(|earlier| scope.must_follow(earlier))
     }
 
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -75,6 +75,12 @@
 }
 
 impl PendingAnswer {
+    /// Whether the request is over at its host. A host may commit a write behind the value of its answer, so a request whose
+    /// answer is still streamed is open, whatever of it has come.
+    pub fn is_over(&self) -> bool {
+        matches!(self, PendingAnswer::Complete(_)) || mutants::on("a value's head ends a write")
+    }
+
     /// The bytes of memory that the answer holds, or takes as messages if that is more.
     pub fn held_bytes(&self) -> usize {
         match self {
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -645,8 +645,7 @@
         }
         memory.shrink_to(answer.held_bytes());
         if self.connection.must_write_before(answer.held_bytes()) {
-            // A write whose answer is streamed isn't committed yet.
-            let head = (!matches!(answer, PendingAnswer::Complete(_))).then_some(&scope);
+            let head = (!answer.is_over()).then_some(&scope);
             self.flush_while_open(head).await?;
         }
         let Some(answer) = self.stream_answer(answer, scope, memory).await else {
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -503,3 +503,52 @@
     assert_served(&mut client, "3");
     assert_served(&mut client, "4");
 }
+
+/// A list with a primary of its own for group 3 and for group 4.
+fn two_groups(third: &Host, fourth: &Host) -> String {
+    let entry = |host: &Host, group: u32| {
+        format!(
+            r#"{{"name":"s-{}","address":"{}","zone":"a","type":"m","group":{group},"status":"SERVING","weight":1.0,"since_ms":1,"access":"writer"}}"#,
+            host.address.port(),
+            host.address
+        )
+    };
+    format!(r#"{{"index":50,"snapshot":true,"endpoints":[{},{}]}}"#, entry(third, 3), entry(fourth, 4))
+}
+
+/// Guards against a write that begins when the head of the value of the write before it has come: that one is committed
+/// behind its value, and the client's last write is lost.
+#[test]
+fn a_write_behind_a_long_value_of_another_write_begins_when_that_one_is_committed() {
+    const LONG_VALUE_BYTES: usize = 75_000;
+    let (reply, pieces) = Reply::streamed();
+    let third = Host::start(move |_, text| match id_of(text).as_str() {
+        "first" => reply.clone(),
+        _ => Reply::Row("second"),
+    });
+    let gate = Gate::holding(&["read"]);
+    let fourth = host_echoing_ids(&gate);
+    let proxy = Proxy::with_console(&[&third], 1024);
+    proxy.agent.next_request();
+    proxy.agent.send_line(&two_groups(&third, &fourth));
+    let read_of_another_group = history("read").replace("cluster=3", "cluster=4");
+    let mut client = proxy.client();
+    while client.query(&history("known").replace("cluster=3", "cluster=4")).code == "42704" {}
+    client.send(&queries(&[read_of_another_group, write("first"), write("last")]));
+    assert_eq!(id_of(&third.next_query()), "first");
+    let answer = row(&"v".repeat(LONG_VALUE_BYTES));
+    let (head, rest) = answer.split_at(LONG_VALUE_BYTES / 2);
+    pieces.send(head.to_vec()).expect("the host waits");
+    // Another client's write to the group is free to begin, so it comes first.
+    thread::sleep(std::time::Duration::from_millis(200));
+    let mut other = proxy.client();
+    other.send(&query(&write("other")));
+    assert_eq!(id_of(&third.next_query()), "other");
+    gate.release("read");
+    assert_served(&mut client, "read");
+    pieces.send(rest.to_vec()).expect("the host waits");
+    drop(pieces);
+    assert_eq!(client.answer().value.map(|value| value.len()), Some(LONG_VALUE_BYTES));
+    assert_eq!(id_of(&third.next_query()), "last");
+    assert_eq!(client.answer().value.as_deref(), Some("second"));
+}
