An id that was answered before an upgrade is not forgotten for an earlier answer

Callers saw nothing yet: the simulation's clients that send foreign ids around a replacement were served now and then.

Cause: as another process begins, a process records what it has answered, in any order. The time of a record served as the present too, so records of later answers counted as of times that had not come yet, and were replaced.

Change: the present is passed apart from the time of the answer. Ids are claimed in a fixed order, so that a simulation gives the same run.

--- a/src/answered_ids.rs
+++ b/src/answered_ids.rs
@@ -18,7 +18,7 @@
 pub const BUCKET_BYTES: usize = RECORD_BYTES * RECORDS_PER_BUCKET;
 
 /// The hash of a request id, which is the same in all processes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct IdHash(pub u64);
 
 impl IdHash {
@@ -88,12 +88,12 @@
         self.records().any(|record| record.id == id && record.is_recent(now))
     }
 
-    /// The record of an id whose request was answered at `answered_at`. It takes the place of the id's earlier record, of one
-    /// that no longer counts, or of the oldest.
-    pub fn record_answered(&self, id: IdHash, answered_at: MachineMicros) -> RecordWrite {
+    /// The record of an id whose request was answered at `answered_at`, which is not after `now`. It takes the place of the id's
+    /// earlier record, of one that no longer counts, or of the oldest.
+    pub fn record_answered(&self, id: IdHash, answered_at: MachineMicros, now: MachineMicros) -> RecordWrite {
         let rank = |record: &Record| match record {
             record if record.id == id => (0, 0),
-            record if !record.is_recent(answered_at) => (1, 0),
+            record if !record.is_recent(now) => (1, 0),
             record => (2, record.answered_at),
         };
         let place = self.records().enumerate().min_by_key(|(_, record)| rank(record)).map_or(0, |(n, _)| n);
--- a/src/net/request_ids.rs
+++ b/src/net/request_ids.rs
@@ -133,7 +133,10 @@
         match SharedFile::open(path) {
             Ok(file) => {
                 ids.file = Some(Rc::new(file));
-                ids.unclaimed = ids.in_use.keys().copied().collect();
+                let mut in_use: Vec<IdHash> = ids.in_use.keys().copied().collect();
+                // The order of a map differs from run to run, which a simulation must not.
+                in_use.sort_unstable();
+                ids.unclaimed = in_use.into();
             }
             Err(e) => {
                 info!(target: "upgrade", "{}: {e}; the other process will not know the ids in use here",
@@ -236,9 +239,10 @@
 
 /// Records in the file when the request of an id was answered, then frees the id's lock.
 fn record_and_unlock(file: &SharedFile, id: IdHash, answered: Instant, is_locked: bool) -> io::Result<()> {
-    let answered_at = world::since_boot().saturating_sub(world::since(answered));
+    let now = world::since_boot();
+    let answered_at = now.saturating_sub(world::since(answered)).as_micros() as u64;
     let recorded = read_bucket(file, id).and_then(|bucket| {
-        let record = bucket.record_answered(id, answered_at.as_micros() as u64);
+        let record = bucket.record_answered(id, answered_at, now.as_micros() as u64);
         work::charge(work::FILE_CALL);
         file.write_at(&record.bytes, record.offset)
     });
--- a/tests/request_ids.rs
+++ b/tests/request_ids.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use sillfold::answered_ids::{BUCKET_BYTES, Bucket, ID_RETENTION, IdHash};
+use sillfold::net::core::fnv1a;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Write};
 use std::os::unix::net::UnixStream;
@@ -235,26 +236,39 @@
     assert!(!proxy.directory.join("sillfold.ids").exists());
 }
 
-/// A bucket keeps the ids that were answered last, each once, and forgets them in time.
+/// Guards against ids that differ in some digits and are all kept in a few buckets, where they replace each other.
 #[test]
-fn a_bucket_of_answered_ids_keeps_the_newest() {
-    let mut bucket = Bucket::default();
-    let record = |bucket: &mut Bucket, id: u64, at: u64| {
-        let write = bucket.record_answered(IdHash(id), at);
-        let place = (write.offset - IdHash(id).bucket_offset()) as usize;
-        assert!(place + write.bytes.len() <= BUCKET_BYTES);
-        bucket.0[place..place + write.bytes.len()].copy_from_slice(&write.bytes);
-    };
-    let start = 50_000_000;
-    for id in 1..=5 {
-        record(&mut bucket, id << 20, start + id);
-        record(&mut bucket, id << 20, start + id);
+fn ids_that_differ_in_some_digits_are_spread_over_the_table() {
+    let mut in_bucket: BTreeMap<u64, usize> = BTreeMap::new();
+    for id in (1..=60).flat_map(|client| (1..30).map(move |number| format!("q{client}.{number}"))) {
+        *in_bucket.entry(IdHash(fnv1a(&id)).bucket_offset()).or_default() += 1;
     }
+    assert!(in_bucket.values().all(|ids| *ids <= 4), "{:?}", in_bucket.values().max());
+}
+
+/// A bucket keeps the ids that were answered last, each once, and forgets them in time. Guards against records that are
+/// replaced by those of earlier answers: a process that hears of another one records what it has answered in any order.
+#[test]
+fn a_bucket_of_answered_ids_keeps_the_newest_in_whatever_order_they_are_recorded() {
+    let start = 50_000_000;
     let now = start + 10;
-    let held: Vec<u64> = (1..=5).filter(|id| bucket.contains(IdHash(id << 20), now)).collect();
-    assert_eq!(held, [2, 3, 4, 5]);
-    let later = start + 4 + ID_RETENTION.as_micros() as u64;
-    assert!(bucket.contains(IdHash(4 << 20), later) && !bucket.contains(IdHash(3 << 20), later));
-    // A time that has not come yet is from before a restart of the machine.
-    assert!(!bucket.contains(IdHash(4 << 20), start));
+    let ids: Vec<u64> = (1..=5).collect();
+    let orders = [vec![1, 2, 3, 4, 5], vec![5, 4, 3, 2], vec![3, 2, 5, 4], vec![2, 5, 3, 4]];
+    for order in orders {
+        let mut bucket = Bucket::default();
+        for &number in order.iter().flat_map(|number| [number, number]) {
+            let id = IdHash(number << 20);
+            let write = bucket.record_answered(id, start + number, now);
+            let place = (write.offset - id.bucket_offset()) as usize;
+            assert!(place + write.bytes.len() <= BUCKET_BYTES);
+            bucket.0[place..place + write.bytes.len()].copy_from_slice(&write.bytes);
+        }
+        let held: Vec<u64> =
+            ids.iter().copied().filter(|id| bucket.contains(IdHash(id << 20), now)).collect();
+        assert_eq!(held, [2, 3, 4, 5], "{order:?}");
+        let later = start + 4 + ID_RETENTION.as_micros() as u64;
+        assert!(bucket.contains(IdHash(4 << 20), later) && !bucket.contains(IdHash(3 << 20), later));
+        // A time that has not come yet is from before a restart of the machine.
+        assert!(!bucket.contains(IdHash(4 << 20), start));
+    }
 }
