A long statement that was read ahead is written in several polls

Cause: what was read while the request waited, up to 1 MiB, was written without a read in between, and only reads pause: up to 1.3 million units of work in one poll where a million are allowed.

Change: the upload pauses before each piece.

--- a/src/net/upload.rs
+++ b/src/net/upload.rs
@@ -7,6 +7,7 @@
 use super::hosts::{ApprovedStart, AttemptConnection, Hosts};
 use super::request::give_up_at;
 use super::timeout_at;
+use super::work;
 use super::world::{self, READ_BYTES};
 use crate::pg;
 use crate::statement::Statement;
@@ -142,6 +143,8 @@
     pub async fn write_rest(&mut self) -> Result<(), UploadError> {
         let mut piece = Vec::new();
         while self.incoming.remaining() > 0 {
+            // What was read ahead is written without a read in between, which would pause.
+            work::pause().await;
             self.incoming.read_more().await?;
             self.incoming.take_piece(&mut piece);
             let last_byte_at = self.clock.micros(self.incoming.last_byte_at());
