A stop does not wait for a host that stalls inside a streamed answer

Callers saw: a process told to stop while a streamed answer stalled went on for up to 15 s, past SIGKILL, so that clients lost their connections without an answer.

Cause: a stall within an answer is given 15 s, whatever the state of the stop.

Change: behind the stop's cut-off a streamed answer ends when nothing comes for 0.1 s; one that goes on is passed on.

--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -215,6 +215,11 @@
         !self.stream.is_idle()
     }
 
+    /// The limits on clients, and the state of a stop.
+    pub fn admission(&self) -> &'a Rc<Admission> {
+        self.admission
+    }
+
     /// The client's stream.
     pub fn stream(&self) -> Rc<Stream> {
         self.stream.clone()
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -33,6 +33,8 @@
 const PADDING_BYTES: usize = 4 * 1024;
 /// The length of an error message of the proxy's own, rounded up.
 const SHORT_ERROR_BYTES: usize = 128;
+/// Once the stop's time is over, an answer that is streamed is broken off if its host sends nothing for this long.
+const MAX_PAUSE_AFTER_CUT_OFF: Duration = Duration::from_millis(100);
 /// A client that announces a longer wait counts as waiting this long.
 const MAX_PATIENCE_MS: u64 = 60_000;
 
@@ -609,6 +611,17 @@
     ClientFailed,
 }
 
+/// Returns what `read` returns, a read of an answer that is streamed. Fails once the stop's time is over and nothing comes for
+/// `MAX_PAUSE_AFTER_CUT_OFF`. Guards against a stop that waits for a host that stalls.
+async fn read_streamed<T>(admission: &Admission, read: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let stalled = async {
+        admission.until_cut_off().await;
+        world::after(MAX_PAUSE_AFTER_CUT_OFF).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    future::or(read, stalled).await
+}
+
 /// Streams a value to the client as fast as the client reads it.
 pub async fn stream_value(
     connection: &mut ClientConnection<'_>, hosts: &Hosts, mut value: Box<StreamedValue>,
@@ -616,9 +629,10 @@
 ) -> StreamResult {
     let length_before = connection.out.len();
     pg::put_long_row(&mut connection.out, &value.column, value.value_bytes);
+    let admission = connection.admission();
     let mut any_sent = false;
     loop {
-        match value.read_piece(&mut connection.out, memory).await {
+        match read_streamed(admission, value.read_piece(&mut connection.out, memory)).await {
             Ok(0) => break,
             Ok(_) => {}
             Err(_) if any_sent => return StreamResult::BrokenOff { missing: value.remaining_bytes() },
@@ -632,12 +646,13 @@
             return StreamResult::ClientFailed;
         }
     }
-    match hosts.finish_value(value).await {
-        Some(tag) => {
+    let finished = async { hosts.finish_value(value).await.ok_or(io::ErrorKind::InvalidData.into()) };
+    match read_streamed(admission, finished).await {
+        Ok(tag) => {
             pg::put_command_complete(&mut connection.out, &tag);
             StreamResult::Complete
         }
-        None => StreamResult::BrokenOff { missing: 0 },
+        Err(_) => StreamResult::BrokenOff { missing: 0 },
     }
 }
 
@@ -662,7 +677,8 @@
 ) -> Option<Option<Micros>> {
     connection.put_bytes(std::mem::take(&mut answer.beginning));
     connection.flush().await.ok()?;
-    while answer.read_piece(&mut connection.out, memory).await.ok()? {
+    let admission = connection.admission();
+    while read_streamed(admission, answer.read_piece(&mut connection.out, memory)).await.ok()? {
         connection.flush().await.ok()?;
     }
     let position = answer.report.position;
