--- a/crates/lab/src/sim/check.rs
+++ b/crates/lab/src/sim/check.rs
@@ -299,6 +299,11 @@
         index
     }
 
+    /// Whether a host has had a request.
+    pub fn has_attempt(&self, id: &str) -> bool {
+        self.attempts.get(id).is_some_and(|attempts| !attempts.is_empty())
+    }
+
     /// Records how an attempt ended at its host.
     pub fn attempt_ended(&mut self, id: &str, index: usize, state: AttemptState) {
         if let Some(attempt) = self.attempts.get_mut(id).and_then(|attempts| attempts.get_mut(index)) {
--- a/crates/lab/src/sim/client.rs
+++ b/crates/lab/src/sim/client.rs
@@ -121,7 +121,7 @@
 }
 
 /// Opens a session with the proxy; `None` if the connection or the startup fails or takes longer than two seconds.
-async fn connect(address: SocketAddr) -> Option<Stream> {
+pub async fn connect(address: SocketAddr) -> Option<Stream> {
     let opened = async {
         let stream = Stream::connect(address).await.ok()?;
         stream.write_all(&wire::startup("web", "orders")).await.ok()?;
@@ -177,6 +177,7 @@
         fleet.checker.borrow_mut().counts.excused += 1;
         return false;
     }
+    let _recent = fleet.begin_recent(&id, &text, target.address);
     let (mut value, mut error) = (None, None);
     // One request in 25 on average is given up: the client closes its connection.
     let gives_up_at = if w.draw_below(25) == 0 {
--- a/crates/lab/src/sim/host.rs
+++ b/crates/lab/src/sim/host.rs
@@ -4,6 +4,7 @@
 
 use super::check::{AttemptOrigin, AttemptState, HostLocation, RuleChecker};
 use super::deployment::{Access, Class, DedupScope, Deployment, Idempotency, LagCheck, SessionTokens};
+use super::foreign_ids::RecentRequests;
 use super::world::{Micros, World};
 use crate::wire;
 use futures_lite::future;
@@ -23,6 +24,10 @@
 const MAX_CORE_WAIT_US: Micros = 600_000;
 /// How often a host that waits for replication checks what has been applied.
 const REPLICATION_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// The length of a long value, beyond what a proxy holds.
+const LONG_VALUE_BYTES: usize = 70 * 1024;
+/// How long a host takes to commit a write behind its long value.
+const LONG_COMMIT_US: Micros = 30_000;
 /// The limit of the length of a message; a longer one is an error.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
@@ -130,6 +135,12 @@
     last_commits: RefCell<BTreeMap<String, Micros>>,
     /// The number of values answered so far; it makes each value unique.
     answered_values: Cell<u64>,
+    /// The usual clients' requests that are open, or ended a moment ago.
+    pub recent_requests: RecentRequests,
+    /// The id of the last write to each row of pipelining clients.
+    rows: RefCell<BTreeMap<String, String>>,
+    /// The number of pipelines so far.
+    series: Cell<u64>,
 }
 
 /// The hosts that share the idempotency keys of writes.
@@ -167,6 +178,8 @@
     after: Option<u64>,
     /// The idempotency key of a write.
     key: Option<&'a str>,
+    /// Whether the answer has a long value, which is sent before the commit.
+    is_long: bool,
 }
 
 impl Fleet {
@@ -186,9 +199,23 @@
             keyed_writes,
             last_commits,
             answered_values,
+            recent_requests: RecentRequests::default(),
+            rows: RefCell::default(),
+            series: Cell::default(),
         }
     }
 
+    /// The id of the last write to a row.
+    pub fn row(&self, row: &str) -> Option<String> {
+        self.rows.borrow().get(row).cloned()
+    }
+
+    /// The number of the next pipeline.
+    pub fn next_series(&self) -> u64 {
+        self.series.set(self.series.get() + 1);
+        self.series.get()
+    }
+
     /// How far replicas apply behind the primary while no fault is active.
     pub fn usual_lag(&self) -> Micros {
         self.deployment.replication_delay_ms * 1_000
@@ -486,6 +513,9 @@
             let parameters = self.status_parameters(host, read_at, false);
             return Some(Answer { body: row(&value, "SELECT 1"), parameters, role, commit: None });
         }
+        if request.is_long {
+            return self.answer_long_write(host, &request, origin, stream).await;
+        }
         let KeyedWrite { value, position, .. } = self.commit_write(host, &request, value);
         let replicated = self.wait_for_replication(host, position, stream).await;
         self.checker.borrow_mut().answer_created(&value, id, position, host, origin);
@@ -496,6 +526,29 @@
         replicated.then(|| Answer { body: row(&value, "INSERT 0 1"), parameters, role, commit })
     }
 
+    /// Answers a write with a long value: sends the value, commits behind it, and returns the rest of the answer. `None` if the
+    /// proxy closes the connection before.
+    async fn answer_long_write(
+        &self, host: usize, request: &HostRequest<'_>, origin: AttemptOrigin, stream: &Stream,
+    ) -> Option<Answer> {
+        let value = format!("v{host}.{}{}", self.answered_values.get(), "x".repeat(LONG_VALUE_BYTES));
+        let value_messages = [wire::row_description(&["v"]), wire::data_row(&[Some(&value)])].concat();
+        stream.write_all(&value_messages).await.ok()?;
+        if !self.wait_for_work(stream, LONG_COMMIT_US).await {
+            return None;
+        }
+        let KeyedWrite { position, .. } = self.commit_write(host, request, value.clone());
+        self.checker.borrow_mut().answer_created(&value, request.id, position, host, origin);
+        self.world.trace(|| format!("host {host} commits {} behind a long value", request.id));
+        let commit = Commit { id: request.id.to_string(), session: request.session.to_string(), position };
+        Some(Answer {
+            body: wire::command_complete("INSERT 0 1"),
+            parameters: self.status_parameters(host, position, true),
+            role: Some(self.hosts.borrow()[host].primary),
+            commit: Some(commit),
+        })
+    }
+
     /// Waits until the data of a host are recent enough for a request, as long as the lag check of the deployment allows.
     /// Returns whether they are; always true where hosts don't check.
     async fn wait_until_fresh(&self, host: usize, request: &HostRequest<'_>) -> bool {
@@ -544,6 +597,9 @@
             }
             effective = first.clone();
         }
+        if effective.committed_at == now {
+            self.rows.borrow_mut().insert(request.session.to_string(), request.id.to_string());
+        }
         let mut last_commits = self.last_commits.borrow_mut();
         let last = last_commits.entry(request.session.to_string()).or_default();
         *last = effective.position.max(*last);
@@ -628,6 +684,7 @@
             session,
             after,
             key,
+            is_long: field("long").is_some(),
         })
     }
 }
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -7,9 +7,11 @@
 pub mod check;
 pub mod client;
 pub mod deployment;
+pub mod foreign_ids;
 pub mod forged_peer;
 pub mod freshness;
 pub mod host;
+pub mod pipelines;
 pub mod plan;
 pub mod world;
 
@@ -714,23 +716,18 @@
             }
             FaultKind::TruncatedFile(_) => {}
             FaultKind::MisbehavingClients(proxy, count) if begins => {
-                let machine = self.world.add_machine(MACHINE_DESCRIPTORS);
-                let (_, scheduler) = self.add_process(machine);
-                let until = (fault.at_ms + fault.for_ms) * 1_000;
-                for _ in 0..count {
-                    let (fleet, target) = (self.fleet.clone(), self.targets[proxy % proxies].clone());
-                    Spawner::of(&scheduler).spawn(client::run_misbehaving_client(fleet, target, until));
-                }
+                self.start_clients(fault, proxy, count, client::run_misbehaving_client);
             }
             FaultKind::FloodingClients(proxy, count) if begins => {
-                let machine = self.world.add_machine(MACHINE_DESCRIPTORS);
-                let (_, scheduler) = self.add_process(machine);
-                let until = (fault.at_ms + fault.for_ms) * 1_000;
-                for _ in 0..count {
-                    let (fleet, target) = (self.fleet.clone(), self.targets[proxy % proxies].clone());
-                    Spawner::of(&scheduler).spawn(client::run_flooding_client(fleet, target, until));
-                }
+                self.start_clients(fault, proxy, count, client::run_flooding_client);
+            }
+            FaultKind::ForeignIds(proxy, count) if begins => {
+                self.start_clients(fault, proxy, count, foreign_ids::run_foreign_id_client);
+            }
+            FaultKind::PipeliningClients(proxy, count) if begins && self.plan.groups > 1 => {
+                self.start_clients(fault, proxy, count, pipelines::run_pipelining_client);
             }
+            FaultKind::ForeignIds(..) | FaultKind::PipeliningClients(..) => {}
             FaultKind::MisbehavingClients(..) | FaultKind::FloodingClients(..) => {}
             FaultKind::ForgedPeer(proxy) if begins && self.plan.peer_messages => {
                 let machine = self.world.add_machine(MACHINE_DESCRIPTORS);
@@ -748,6 +745,19 @@
         }
     }
 
+    /// Starts clients of a proxy, which run until the end of the fault.
+    fn start_clients<F: Future<Output = ()> + 'static>(
+        &mut self, fault: &Fault, proxy: usize, count: u64, run: impl Fn(Rc<Fleet>, Rc<Target>, Micros) -> F,
+    ) {
+        let machine = self.world.add_machine(MACHINE_DESCRIPTORS);
+        let (_, scheduler) = self.add_process(machine);
+        let until = (fault.at_ms + fault.for_ms) * 1_000;
+        for _ in 0..count {
+            let target = self.targets[proxy % self.targets.len()].clone();
+            Spawner::of(&scheduler).spawn(run(self.fleet.clone(), target, until));
+        }
+    }
+
     /// Applies or ends a fault of a percentage of a host's answers.
     fn set_answer_fault(&self, host: usize, begins: bool, fault: (AnswerFault, u64)) {
         self.fleet.hosts.borrow_mut()[host].answer_fault = if begins { fault } else { Default::default() };
--- a/crates/lab/src/sim/plan.rs
+++ b/crates/lab/src/sim/plan.rs
@@ -166,6 +166,10 @@
     /// This many clients of the proxy send messages of one kind each as fast as the network takes them.
     #[serde(rename = "flood")]
     FloodingClients(usize, u64),
+    /// This many clients send the proxy the ids of other clients' requests.
+    ForeignIds(usize, u64),
+    /// This many clients send the proxy several requests behind one another, with two writes to one row.
+    PipeliningClients(usize, u64),
     /// All open watches of discovery stop sending, but stay open.
     #[serde(rename = "watches_silent", alias = "watches_hushed")]
     SilentWatches,
@@ -184,6 +188,30 @@
     RoleOnlyAnswers(usize, u64),
 }
 
+/// Draws clients that send foreign ids around a replacement of their proxy, and clients that send pipelines. The draws are
+/// those of a generator of their own, so that seeds keep the other faults that they had.
+fn order_and_id_faults(seed: u64, proxies: u64, faults: &[Fault]) -> Vec<Fault> {
+    let mut random = Rand64::new(u128::from(seed) ^ 0x6964_7321);
+    let mut below = |n: u64| random.rand_range(0..n);
+    let mut drawn = Vec::new();
+    let (proxy, at_ms) = (below(proxies) as usize, 1_000 + below(14_000));
+    // A killed process frees its ids, and where the disk fails they cannot be claimed.
+    let frees_ids = |f: &Fault| {
+        matches!(f.kind, FaultKind::ProxyKilled(..) | FaultKind::DiskFull(_) | FaultKind::DiskUnreadable(_))
+    };
+    if below(3) == 0 && !faults.iter().any(frees_ids) {
+        let for_ms = 3_000 + below(5_000);
+        drawn.push(Fault { at_ms, for_ms, kind: FaultKind::ForeignIds(proxy, 2 + below(8)) });
+        let kind = FaultKind::ProxyReplaced(proxy);
+        drawn.push(Fault { at_ms: at_ms + below(1_000), for_ms: 500 + below(4_000), kind });
+    }
+    if below(3) == 0 {
+        let kind = FaultKind::PipeliningClients(below(proxies) as usize, 1 + below(6));
+        drawn.push(Fault { at_ms: 1_000 + below(18_000), for_ms: 1_000 + below(6_000), kind });
+    }
+    drawn
+}
+
 /// Steps of a wall clock that a drawn plan may have, in milliseconds.
 const CLOCK_STEPS_MS: [i64; 4] = [-3_600_000, -5_000, 5_000, 3_600_000];
 
@@ -355,6 +383,8 @@
             for_ms = 12_000;
         }
         faults.extend(system_faults(&mut below, proxies as u64, hosts));
+        let more = order_and_id_faults(seed, proxies as u64, &faults);
+        faults.extend(more);
         faults.sort_by_key(|f| f.at_ms);
         let deployment = Some(Deployment::from_seed(seed, proxies));
         Plan {
--- a/crates/lab/tests/mutants.rs
+++ b/crates/lab/tests/mutants.rs
@@ -410,3 +410,25 @@
     let faults = vec![fault(2_000, 300, FaultKind::FloodingClients(0, 12))];
     assert_rule_broken("turns have no end", "no task holds the core", &small_plan(41, Family::Wait, faults));
 }
+
+/// Clients send the ids of others' requests while a new version runs beside the old one.
+#[test]
+fn foreign_id_served_over_an_upgrade_breaks_its_rule() {
+    let faults = vec![
+        fault(1_500, 5_500, FaultKind::ForeignIds(0, 8)),
+        fault(2_000, 3_000, FaultKind::ProxyReplaced(0)),
+    ];
+    let plan = Plan { clients: 30, ..small_plan(60, Family::Wait, faults) };
+    assert_rule_broken("ids are not shared", "an id has one holder", &plan);
+}
+
+/// The first of two writes of a pipeline has a long value, behind which its host commits.
+#[test]
+fn write_before_the_commit_of_the_one_before_breaks_its_rule() {
+    let faults = vec![
+        fault(1_000, 6_000, FaultKind::PipeliningClients(0, 6)),
+        fault(1_500, 5_000, FaultKind::SlowHost(3, 8)),
+    ];
+    let plan = Plan { groups: 2, ..small_plan(61, Family::Wait, faults) };
+    assert_rule_broken("a value's head ends a write", "the last write stays", &plan);
+}
