Refuse plain statements that name the schema of temporary objects

Cause: temporary objects were known by the words TEMP, TEMPORARY and LOCAL alone, not by their schema.

Change: a statement with a name pg_temp or pg_temp_N, quoted or escaped too, belongs to a session.

--- a/crates/sql/src/scan.rs
+++ b/crates/sql/src/scan.rs
@@ -4,6 +4,7 @@
 use crate::analysis::{Analysis, Effect, TransactionControl, Unsupported};
 use crate::functions::{FunctionKind, Functions};
 use crate::lex::{Token, tokens};
+use std::borrow::Cow;
 
 /// First words of statements that may be reads.
 const QUERY_WORDS: [&str; 6] = ["select", "values", "table", "with", "show", "explain"];
@@ -131,11 +132,14 @@
     count: usize,
     /// Whether the word TO stands in the statement.
     has_to: bool,
+    /// Whether the schema of a session's temporary objects is named in the statement.
+    has_temporary_schema: bool,
 }
 
 impl<'s> FirstWords<'s> {
     fn add(&mut self, token: Token, text: &'s str) {
         self.has_to |= token == Token::Word && text == "to";
+        self.has_temporary_schema |= names_temporary_schema(token, text);
         let is_opening = self.count == 0 && token == Token::OpenParen;
         if !is_opening && self.count < FIRST_WORDS {
             self.words[self.count] = text;
@@ -194,6 +198,9 @@
         let words = statement.words();
         let first = words.first().copied().unwrap_or("");
         let second = words.get(1).copied().unwrap_or("");
+        if statement.has_temporary_schema {
+            self.analysis.raise(Effect::Session, "what is temporary belongs to a session");
+        }
         match first {
             _ if TRANSACTION_WORDS.contains(&first) || (first, second) == ("prepare", "transaction") => {
                 let control = match first {
@@ -419,6 +426,44 @@
     }
 }
 
+/// Whether a token is the name of a schema of temporary objects: `pg_temp`, or `pg_temp_` and a number.
+fn names_temporary_schema(token: Token, text: &str) -> bool {
+    let name = match token {
+        Token::Word | Token::QuotedName => Cow::Borrowed(unquoted(text)),
+        Token::UnicodeQuotedName => Cow::Owned(without_escapes(unquoted(&text[2..]))),
+        _ => return false,
+    };
+    let Some(rest) = name.strip_prefix("pg_temp") else { return false };
+    rest.is_empty() || rest.strip_prefix('_').is_some_and(|n| n.bytes().all(|b| b.is_ascii_digit()))
+}
+
+/// A name with each escape replaced by its character. UESCAPE may choose the character that begins an escape, so any that
+/// is followed by the digits of one counts.
+fn without_escapes(name: &str) -> String {
+    let mut decoded = String::new();
+    let mut rest = name;
+    while let Some(first) = rest.chars().next() {
+        let behind = &rest[first.len_utf8()..];
+        let (digits, length) = match behind.strip_prefix('+') {
+            Some(long) => (long.get(..6), 7),
+            None => (behind.get(..4), 4),
+        };
+        let is_escape = !first.is_ascii_alphanumeric() && first != '_';
+        let code = digits.filter(|_| is_escape).and_then(|digits| u32::from_str_radix(digits, 16).ok());
+        match code.and_then(char::from_u32) {
+            Some(escaped) => {
+                decoded.push(escaped);
+                rest = &behind[length..];
+            }
+            None => {
+                decoded.push(first);
+                rest = behind;
+            }
+        }
+    }
+    decoded
+}
+
 /// A name without its quotes.
 fn unquoted(text: &str) -> &str {
     text.strip_prefix('"').and_then(|t| t.strip_suffix('"')).unwrap_or(text)
