The soak has long writes, and a stop beside a stalled answer has a test

One action in twelve of the soak's clients is a write of 200 KB, whose time begins with its last byte.

--- a/crates/lab/src/soak/checker.rs
+++ b/crates/lab/src/soak/checker.rs
@@ -207,6 +207,14 @@
         self.requests.insert(id.to_string(), request);
     }
 
+    /// Reports that a client has written the last byte of a request, with which its time begins.
+    pub fn request_written(&mut self, id: &str) {
+        if let Some(request) = self.requests.get_mut(id) {
+            let now = Instant::now();
+            (request.sent, request.head_since) = (now, now);
+        }
+    }
+
     /// Reports that all requests before this one on its connection are answered.
     pub fn request_reached_head(&mut self, id: &str) {
         if let Some(request) = self.requests.get_mut(id) {
--- a/crates/lab/src/soak/client.rs
+++ b/crates/lab/src/soak/client.rs
@@ -20,6 +20,8 @@
 /// A client that sends a part of a message gets an error or the end of its connection within this time: 3 s, two delays of
 /// the process of 150 ms, and the way.
 const PARTIAL_MESSAGE_TIMEOUT: Duration = Duration::from_millis(3_400);
+/// The value of a long write. A statement has it in hexadecimal, so it is longer than what a proxy holds whole.
+const LONG_VALUE_BYTES: usize = 100_000;
 /// The wait before a client connects again after a failure.
 const RECONNECT_DELAY: Duration = Duration::from_millis(40);
 /// Timeout of opening a session, and of the query that checks whether a proxy serves.
@@ -41,6 +43,8 @@
 enum Action {
     /// Sends a request and waits for its answer.
     Query,
+    /// Sends a write whose statement a proxy passes on in pieces, and waits for its answer.
+    LongWrite,
     /// Sends this many requests at once and waits for their answers.
     Pipeline(u64),
     /// Sends a request and disconnects soon after.
@@ -85,7 +89,8 @@
     /// Draws the next action.
     fn next_action(&mut self) -> Action {
         match self.rng.rand_range(0..100) {
-            0..=77 => Action::Query,
+            0..=69 => Action::Query,
+            70..=77 => Action::LongWrite,
             78..=85 => Action::Pipeline(2 + self.rng.rand_range(0..3)),
             86..=92 => Action::Disconnect,
             93..=94 => Action::SendPartialMessage,
@@ -99,8 +104,18 @@
             return Ok(false);
         }
         match self.next_action() {
-            Action::Query => self.send_requests(stream, 1).await,
-            Action::Pipeline(count) => self.send_requests(stream, count).await,
+            Action::Query => {
+                let request = self.statement();
+                self.send_requests(stream, vec![request]).await
+            }
+            Action::LongWrite => {
+                let request = self.long_write();
+                self.send_requests(stream, vec![request]).await
+            }
+            Action::Pipeline(count) => {
+                let requests = (0..count).map(|_| self.statement()).collect();
+                self.send_requests(stream, requests).await
+            }
             Action::Disconnect => {
                 let (id, statement, class) = self.statement();
                 let port = stream.get_ref().local_addr()?.port();
@@ -122,8 +137,20 @@
 
     /// Draws the next request: its id, its statement and its class.
     fn statement(&mut self) -> (String, String, Class) {
-        self.request_count += 1;
         let class = self.classes[self.rng.rand_range(0..self.classes.len() as u64) as usize];
+        self.statement_of(class, "1")
+    }
+
+    /// The next write with a long value.
+    fn long_write(&mut self) -> (String, String, Class) {
+        let writes: Vec<Class> = self.classes.iter().filter(|class| class.is_write).copied().collect();
+        let class = writes[self.rng.rand_range(0..writes.len() as u64) as usize];
+        self.statement_of(class, &"7f".repeat(LONG_VALUE_BYTES))
+    }
+
+    /// The next request of a class: its id, its statement and its class.
+    fn statement_of(&mut self, class: Class, value: &str) -> (String, String, Class) {
+        self.request_count += 1;
         let group = self.rng.rand_range(0..self.groups as u64);
         let id = format!("q{}-{}", self.number, self.request_count);
         let deadline_ms = class.deadline.as_millis();
@@ -131,22 +158,28 @@
         let comment = format!("/* id={id},c={},d={deadline_ms}{key},cluster={group} */", class.name);
         let statement = match class.is_write {
             true => {
-                format!("{comment} INSERT INTO entries (ref, payload) VALUES ('{id}', '1') RETURNING payload")
+                format!(
+                    "{comment} INSERT INTO entries (ref, payload) VALUES ('{id}', '{value}') RETURNING payload"
+                )
             }
             false => format!("{comment} SELECT payload FROM entries WHERE ref = '{id}'"),
         };
         (id, statement, class)
     }
 
-    /// Sends `count` requests at once and waits for their answers; returns whether the connection is still open.
-    async fn send_requests(&mut self, stream: &mut Async<TcpStream>, count: u64) -> io::Result<bool> {
+    /// Sends these requests at once and waits for their answers; returns whether the connection is still open.
+    async fn send_requests(
+        &mut self, stream: &mut Async<TcpStream>, requests: Vec<(String, String, Class)>,
+    ) -> io::Result<bool> {
         let port = stream.get_ref().local_addr()?.port();
-        let requests: Vec<_> = (0..count).map(|_| self.statement()).collect();
         let bytes: Vec<u8> = requests.iter().flat_map(|(_, statement, _)| query(statement)).collect();
         for (id, _, class) in &requests {
             self.checker.borrow_mut().request_sent(id, *class, self.proxy.number, port);
         }
         let mut is_open = stream.write_all(&bytes).await.is_ok();
+        for (id, ..) in &requests {
+            self.checker.borrow_mut().request_written(id);
+        }
         // Answers come in the order of the requests, so each may need the time of all before it.
         let total_time: Duration = requests.iter().map(|(.., class)| class.deadline).sum();
         let give_up_at = Instant::now() + total_time + EXTRA_WAIT;
--- a/crates/lab/src/soak/host.rs
+++ b/crates/lab/src/soak/host.rs
@@ -22,7 +22,7 @@
 /// Bound of the random delay before a session starts at a host with late sessions.
 const MAX_SESSION_DELAY_MS: u64 = 600;
 /// Longest statement that a host accepts; a longer one ends the session.
-const MAX_STATEMENT_BYTES: usize = 64 * 1024;
+const MAX_STATEMENT_BYTES: usize = 1024 * 1024;
 
 /// How a host behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/net/upload.rs
+++ b/src/net/upload.rs
@@ -9,6 +9,7 @@
 use super::timeout_at;
 use super::work;
 use super::world::{self, READ_BYTES};
+use crate::mutants;
 use crate::pg;
 use crate::statement::Statement;
 use crate::upload_clock::UploadClock;
@@ -51,7 +52,7 @@
 
     /// The earliest time at which the client may have written the last byte that was received.
     pub fn last_byte_at(&self) -> Instant {
-        self.clock.last_byte_at()
+        if mutants::on("long statements begin anew") { world::now() } else { self.clock.last_byte_at() }
     }
 
     /// Receives the statement to its end, and keeps it. Where there is no memory for more, waits until there is some. Returns why
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -157,3 +157,24 @@
         assert!(elapsed < Duration::from_millis(500 + 700), "{flood:?}: {elapsed:?}");
     }
 }
+
+/// Guards against a stop that waits for a host that stalls inside a streamed answer: SIGKILL comes before it gives up.
+#[test]
+fn a_stop_does_not_wait_for_a_host_that_stalls_inside_an_answer() {
+    let (reply, pieces) = Reply::streamed();
+    let host = Host::start(move |_, _| reply.clone());
+    let mut proxy = Proxy::start_with(&[&host], 1024, |config| {
+        with_short_targets(config.replace("\"deadlineUs\":20000000", "\"deadlineUs\":500000"))
+    });
+    let mut client = proxy.client();
+    client.send(&query(&read("stalls", "history", 500)));
+    host.next_query();
+    let answer = row(&"x".repeat(200 * 1024));
+    pieces.send(answer[..100 * 1024].to_vec()).expect("the host waits");
+    thread::sleep(Duration::from_millis(100));
+    proxy.signal("TERM");
+    let signalled = Instant::now();
+    assert!(proxy.wait().success());
+    let elapsed = signalled.elapsed();
+    assert!(elapsed < Duration::from_millis(500 + 700), "{elapsed:?}");
+}
