A negative key alone in IN (...) keeps its sign

Cause: the first literal of a list lost its sign with the folded ones, though alone in its list it is a key.

Change: the first literal keeps a minus sign.

--- a/crates/sql/src/lex.rs
+++ b/crates/sql/src/lex.rs
@@ -518,6 +518,7 @@
             return false;
         }
         let element = &self.shape[group.element..];
+        let is_negative = element.starts_with(b"- ");
         let unsigned = element.strip_prefix(b"- ").or(element.strip_prefix(b"+ ")).unwrap_or(element);
         let placeholder: &[u8] = match unsigned {
             b"'?' " => b"'?' ",
@@ -537,7 +538,10 @@
             }
             return true;
         }
-        // The first literal loses its sign, as the folded ones do.
+        // The first literal keeps a minus sign, unlike the folded ones: alone in its list it is a key.
+        if is_negative {
+            self.shape.extend_from_slice(b"- ");
+        }
         self.shape.extend_from_slice(placeholder);
         group.previous_is_literal = true;
         false
--- a/crates/sql/tests/corpus.rs
+++ b/crates/sql/tests/corpus.rs
@@ -98,6 +98,10 @@
     assert_eq!(keys("SELECT 1 FROM t WHERE NOT (ref = 'a')"), "");
     assert_eq!(keys("SELECT 1 FROM t WHERE ref IN ('a')"), "ref=a");
     assert_eq!(keys("SELECT 1 FROM t WHERE ref IN ('a', 'b')"), "ref=a...");
+    // Guards against a sign that is left out: the key of another group.
+    assert_eq!(keys("SELECT 1 FROM t WHERE n IN (-7)"), "n=-7");
+    assert_eq!(keys("SELECT 1 FROM t WHERE n IN (+7)"), "n=7");
+    assert_eq!(keys("DELETE FROM t WHERE n IN (-7, 7)"), "n=-7...");
     assert_eq!(keys("SELECT 1 FROM t WHERE ref NOT IN ('a')"), "");
     assert_eq!(keys("INSERT INTO t (n, ref, p) VALUES (-4, $q$a$q$, E'\\x')"), "n=-4 p=? ref=a");
     assert_eq!(keys("INSERT INTO t (ref, p) VALUES ('a', 1), ('b', 2)"), "p=1... ref=a...");
