Statements behind the end of a refused transaction are refused, not lost

Callers saw: in a session whose BEGIN was refused, ROLLBACK; INSERT ... in one text was answered ROLLBACK and the INSERT ran nowhere (scene block); ROLLBACK AND CHAIN ended the block, so that the next INSERT was committed by itself (scene chain).

Cause: the last word of a text that ends a transaction counted, whatever stood behind it, and AND CHAIN was not looked at.

Change: such a text ends no refused transaction; it is refused with an error.

--- a/crates/route/tests/route.rs
+++ b/crates/route/tests/route.rs
@@ -436,6 +436,12 @@
                 "COMMIT PREPARED 'x'",
                 "SET x = 1",
                 "COMMIT; BEGIN",
+                // The statement behind would be lost without an error.
+                "ROLLBACK; INSERT INTO t (a) VALUES (1)",
+                "ROLLBACK; INSERT INTO t (a) VALUES (1); COMMIT",
+                // They begin a transaction like the one that they end.
+                "ROLLBACK AND CHAIN",
+                "COMMIT WORK AND CHAIN",
                 "",
             ] {
                 assert_eq!(
--- a/crates/sql/src/scan.rs
+++ b/crates/sql/src/scan.rs
@@ -117,6 +117,9 @@
     pub operators: usize,
     /// The tokens that were looked at, each as often as it was.
     pub steps: u64,
+    /// Whether a statement stands behind the end of a transaction. Then no later one ends the transaction for the whole text,
+    /// of which nothing would run.
+    is_followed: bool,
 }
 
 /// The most tokens of a common table's list of columns.
@@ -162,6 +165,7 @@
             max_depth: 0,
             operators: 0,
             steps: 0,
+            is_followed: false,
         }
     }
 
@@ -201,12 +205,24 @@
         if statement.has_temporary_schema {
             self.analysis.raise(Effect::Session, "what is temporary belongs to a session");
         }
+        let is_transaction_control =
+            TRANSACTION_WORDS.contains(&first) || (first, second) == ("prepare", "transaction");
+        if self.analysis.unsupported == Some(Unsupported::Transaction(TransactionControl::End))
+            && !is_transaction_control
+            && !words.is_empty()
+        {
+            self.is_followed = true;
+            self.analysis.unsupported = Some(Unsupported::Transaction(TransactionControl::Within));
+        }
         match first {
-            _ if TRANSACTION_WORDS.contains(&first) || (first, second) == ("prepare", "transaction") => {
+            _ if is_transaction_control => {
                 let control = match first {
                     _ if second == "prepared" => TransactionControl::Within,
                     "begin" | "start" => TransactionControl::Begin,
+                    // AND CHAIN begins a transaction like the one that it ends.
+                    _ if words.windows(2).any(|pair| pair == ["and", "chain"]) => TransactionControl::Within,
                     "rollback" if statement.has_to => TransactionControl::Within,
+                    _ if self.is_followed => TransactionControl::Within,
                     "commit" | "end" | "abort" | "rollback" | "prepare" => TransactionControl::End,
                     _ => TransactionControl::Within,
                 };
