Pipelined requests that were read start when others end and make room

Cause: what was read is decoded when bytes come, a turn begins or a check is asked for, and not when a request ends.

Change: where requests wait for room, the end of one that makes room is an event.

Measured: the new test fails without the event and holds with it, as do the 19 others of the file.

--- a/src/net/pipeline.rs
+++ b/src/net/pipeline.rs
@@ -122,6 +122,11 @@
         self.entries.iter().map(PipelineEntry::held_bytes).sum()
     }
 
+    /// Whether there are fewer requests than this, and they and their answers hold less than these bytes.
+    pub fn has_room(&self, max_requests: usize, max_bytes: usize) -> bool {
+        self.len() < max_requests && self.held_bytes() < max_bytes
+    }
+
     /// Adds a request behind all others.
     pub fn push(&mut self, entry: PipelineEntry<'a>) {
         self.entries.push_back(entry);
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -97,6 +97,8 @@
     NextTurn,
     /// A request waits for the connection to be checked.
     CheckConnection,
+    /// The limits of the pipeline admit more requests, of which some may have been read before.
+    Room,
 }
 
 /// One client's session.
@@ -428,6 +430,7 @@
             match self.next_event(head.as_mut(), &scope, mode).await {
                 DriveEvent::Done(done) => return done,
                 DriveEvent::CheckConnection | DriveEvent::NextTurn | DriveEvent::Read(ReadAhead::Bytes) => {}
+                DriveEvent::Room => self.update_request_bytes(),
                 DriveEvent::Read(ReadAhead::Abandoned(reason)) => {
                     self.watch.abandon(reason);
                     return self.end_abandoned(head).await;
@@ -441,6 +444,10 @@
         &mut self, mut head: Pin<&mut (impl Future<Output = T> + ?Sized)>, scope: &RequestScope,
         mode: ReadAheadMode,
     ) -> DriveEvent<T> {
+        // Requests that were read and did not fit wait until others end, which no bytes announce.
+        let awaits_room =
+            self.deferred.is_none() && !self.connection.read_buffer.is_empty() && !self.may_pipeline_more();
+        let max_requests = self.max_pipelined();
         let read = async {
             if work::is_used_up() {
                 // What was received already may be decoded then.
@@ -460,6 +467,9 @@
                 return Poll::Ready(DriveEvent::Done(done));
             }
             self.pipeline.poll(Some(scope), context);
+            if awaits_room && self.pipeline.has_room(max_requests, MAX_PIPELINE_BYTES) {
+                return Poll::Ready(DriveEvent::Room);
+            }
             if self.watch.needs_check() { Poll::Ready(DriveEvent::CheckConnection) } else { Poll::Pending }
         })
         .await
@@ -539,8 +549,13 @@
 
     /// Whether the limits admit one more request to the pipeline.
     fn may_pipeline_more(&self) -> bool {
-        let max_open = self.context.hosts.max_connections() / PIPELINE_SHARE_DIVISOR;
-        self.pipeline.len() + 1 < max_open && self.connection.request_bytes < MAX_PIPELINE_BYTES
+        let has_bytes = self.connection.request_bytes < MAX_PIPELINE_BYTES;
+        has_bytes && self.pipeline.len() < self.max_pipelined()
+    }
+
+    /// How many requests may be pipelined behind the one whose turn it is.
+    fn max_pipelined(&self) -> usize {
+        (self.context.hosts.max_connections() / PIPELINE_SHARE_DIVISOR).saturating_sub(1)
     }
 
     /// Whether a statement doesn't depend on earlier ones of its session. Plain statements do: they have to see the
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -412,6 +412,27 @@
     assert!(proxy.memory_kb() < 20_000, "{} KB", proxy.memory_kb());
 }
 
+/// Guards against requests that were read before there was room for them, and wait for the end of the first one though there
+/// is room again.
+#[test]
+fn requests_that_were_read_start_when_others_end_and_make_room() {
+    let ids: Vec<String> = (1..=12).map(|id| id.to_string()).collect();
+    let gate = Gate::holding(&ids.iter().map(String::as_str).collect::<Vec<_>>());
+    let host = host_echoing_ids(&gate);
+    let proxy = Proxy::start(&[&host], 1024);
+    let mut client = proxy.client();
+    let padding = "x".repeat(150 << 10);
+    let all: Vec<u8> = ids.iter().flat_map(|id| query(&format!("{} -- {padding}", history(id)))).collect();
+    let mut sending = client.stream.try_clone().expect("clone");
+    thread::spawn(move || sending.write_all(&all).expect("the program reads")).join().expect("all was sent");
+    // All is read by then, and nothing more comes.
+    thread::sleep(std::time::Duration::from_millis(500));
+    ids[1..].iter().for_each(|id| gate.release(id));
+    assert_eq!(next_ids(&host, 12).len(), 12);
+    gate.release("1");
+    ids.iter().for_each(|id| assert_served(&mut client, id));
+}
+
 /// Three requests are in flight, and two wait: a write, and a read behind it. When the client disconnects, the three are
 /// withdrawn, and the others never start.
 #[test]
