A long statement's last byte is not written once what its head told is outdated

Statements that are held whole have a limit for this, long ones had none.

Change: the head is written within the limit that whole statements have. The last piece is not written where the head has announced more than is left, unless the host itself took the time to read. Nothing has run without the last byte.

--- a/src/invariants.rs
+++ b/src/invariants.rs
@@ -25,6 +25,12 @@
     made + DEADLINE_SLACK_US - WRITE_DELAY_US
 }
 
+/// Whether the last byte of a statement must not be written any more, because its head announces more time than is left: the
+/// write itself takes `WRITE_DELAY_US` of what may be announced beyond.
+pub fn is_announcement_outdated(announced: Micros, left: Micros) -> bool {
+    announced > left + DEADLINE_SLACK_US - WRITE_DELAY_US
+}
+
 /// SIGKILL follows SIGTERM no sooner than after the longest wait of a client and this, in microseconds.
 const SIGKILL_DELAY_US: Micros = 700_000;
 
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -96,7 +96,7 @@
 
     /// Writes bytes, of which no part begins after `deadline`. Guards against a process that is held up at one part and
     /// writes the next ones all the same.
-    async fn write_before(&mut self, mut bytes: &[u8], deadline: Instant) -> io::Result<()> {
+    pub async fn write_before(&mut self, mut bytes: &[u8], deadline: Instant) -> io::Result<()> {
         while !bytes.is_empty() {
             if world::now() >= deadline {
                 return Err(ErrorKind::TimedOut.into());
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -549,12 +549,8 @@
                 ClientLink::Complete(_) => return AttemptEvent::Uploaded(Ok(opened)),
             };
             let clock = &core.clock;
-            let mut upload = LongUpload { hosts, clock, opened, statement, incoming, response_margin };
-            let written = match upload.write_head(start).await {
-                Ok(()) => upload.write_rest().await,
-                Err(e) => Err(e),
-            };
-            AttemptEvent::Uploaded(written.map(|()| upload.opened))
+            let upload = LongUpload::new(hosts, clock, opened, statement, incoming, response_margin);
+            AttemptEvent::Uploaded(upload.run(start).await)
         };
         let directed = async { AttemptEvent::Directed(handle.next_directive().await) };
         let cut_off = async {
--- a/src/net/upload.rs
+++ b/src/net/upload.rs
@@ -9,12 +9,15 @@
 use super::timeout_at;
 use super::work;
 use super::world::{self, READ_BYTES};
+use crate::invariants;
 use crate::mutants;
 use crate::pg;
 use crate::statement::Statement;
 use crate::upload_clock::UploadClock;
 use crate::{Micros, Outcome};
-use std::time::Instant;
+use std::future::{Future, poll_fn};
+use std::pin::pin;
+use std::time::{Duration, Instant};
 
 /// Why a long statement was not written to a host.
 pub enum UploadError {
@@ -114,34 +117,59 @@
 
 /// A long statement that is written to its host.
 pub struct LongUpload<'u, 'l, 'a> {
-    pub hosts: &'u Hosts,
-    pub clock: &'u Clock,
-    pub opened: AttemptConnection,
-    pub statement: &'u Statement,
-    pub incoming: &'u mut IncomingStatement<'l, 'a>,
+    hosts: &'u Hosts,
+    clock: &'u Clock,
+    opened: AttemptConnection,
+    statement: &'u Statement,
+    incoming: &'u mut IncomingStatement<'l, 'a>,
     /// The time taken off the client's deadline for sending the answer back.
-    pub response_margin: Micros,
+    response_margin: Micros,
+    /// The remaining time that the statement's head announced.
+    announced: Micros,
+    /// How long writes have waited for the host to read.
+    host_time: Duration,
 }
 
-impl LongUpload<'_, '_, '_> {
-    /// Writes the beginning of the statement, with the time that is left to its client.
-    pub async fn write_head(&mut self, start: ApprovedStart) -> Result<(), UploadError> {
+impl<'u, 'l, 'a> LongUpload<'u, 'l, 'a> {
+    /// An upload on this connection, of which nothing is written yet.
+    pub fn new(
+        hosts: &'u Hosts, clock: &'u Clock, opened: AttemptConnection, statement: &'u Statement,
+        incoming: &'u mut IncomingStatement<'l, 'a>, response_margin: Micros,
+    ) -> LongUpload<'u, 'l, 'a> {
+        let (announced, host_time) = (0, Duration::ZERO);
+        LongUpload { hosts, clock, opened, statement, incoming, response_margin, announced, host_time }
+    }
+
+    /// Writes the statement. Returns the connection on which its answer comes.
+    pub async fn run(mut self, start: ApprovedStart) -> Result<AttemptConnection, UploadError> {
+        self.write_head(start).await?;
+        self.write_rest().await?;
+        Ok(self.opened)
+    }
+
+    /// Writes the beginning of the statement, with the time that is left to its client, unless that is outdated before.
+    async fn write_head(&mut self, start: ApprovedStart) -> Result<(), UploadError> {
         let left = self.incoming.time_left(self.statement, self.clock, self.response_margin);
         if left == 0 {
             return Err(UploadError::NoConnection(Outcome::NotSent));
         }
         let announced_ms = left.div_ceil(1_000);
-        let give_up_at = self.clock.now() + left;
+        self.announced = announced_ms * 1_000;
+        let now = self.clock.now();
         let mut piece = Vec::new();
         pg::put_long_query(&mut piece, self.statement, announced_ms, self.incoming.remaining());
-        self.write(&piece).await?;
-        self.hosts.check_started(&self.opened, &start, &self.statement.id, announced_ms * 1_000, give_up_at);
+        let deadline = self.clock.instant(invariants::write_deadline(now));
+        let written = timeout_at(deadline, self.opened.write_before(&piece, deadline)).await;
+        if !matches!(written, Some(Ok(()))) {
+            return Err(UploadError::NoConnection(Outcome::ConnectFailed));
+        }
+        self.hosts.check_started(&self.opened, &start, &self.statement.id, self.announced, now + left);
         Ok(())
     }
 
     /// Reads the rest of the statement from the client and writes it to the host, up to its last byte. Guards against a host
     /// that reads slowly and delays the answer: no piece is written once the client may have given up.
-    pub async fn write_rest(&mut self) -> Result<(), UploadError> {
+    async fn write_rest(&mut self) -> Result<(), UploadError> {
         let mut piece = Vec::new();
         while self.incoming.remaining() > 0 {
             // What was read ahead is written without a read in between, which would pause.
@@ -150,14 +178,35 @@
             self.incoming.take_piece(&mut piece);
             let last_byte_at = self.clock.micros(self.incoming.last_byte_at());
             let until = give_up_at(self.statement, last_byte_at, self.response_margin);
+            if self.incoming.remaining() == 0 && self.is_outdated(until) {
+                return Err(UploadError::NoConnection(Outcome::ConnectFailed));
+            }
             let written = timeout_at(self.clock.instant(until), self.write(&piece)).await;
             written.unwrap_or(Err(UploadError::NoConnection(Outcome::ConnectFailed)))?;
         }
         Ok(())
     }
 
+    /// Whether the head has announced more time than is left to the client, who gives up at `until`, because of this process:
+    /// a host knows how long it took to read. Without its last byte nothing of the statement has run.
+    fn is_outdated(&self, until: Micros) -> bool {
+        let left = until.saturating_sub(self.clock.now()) + self.host_time.as_micros() as Micros;
+        invariants::is_announcement_outdated(self.announced, left)
+    }
+
     async fn write(&mut self, piece: &[u8]) -> Result<(), UploadError> {
-        let written = self.opened.write(piece).await;
+        let started = world::now();
+        let mut has_waited = false;
+        let mut write = pin!(self.opened.write(piece));
+        let written = poll_fn(|context| {
+            let polled = write.as_mut().poll(context);
+            has_waited |= polled.is_pending();
+            polled
+        })
+        .await;
+        if has_waited {
+            self.host_time += world::since(started);
+        }
         written.map_err(|_| UploadError::NoConnection(Outcome::ConnectFailed))
     }
 }
